Declaration library, configuration document and result codes

Cause: nothing stood yet. The operators' document is the contract between the library, the check command and every process, so it comes first. Ruled out: embedding the operators' program in the server, and sending single changes (docs/design/01-configuration-document.md). Conclusion: references are checked on the value, places found from pointers.

--- /dev/null
+++ b/core/result/table.go
@@ -0,0 +1,67 @@
+package result
+
+// Table returns every code with its name and meaning, in ascending order.
+func Table() []Row { return table }
+
+var table = []Row{
+	{Complete, "complete", "every service that was asked is in the answer"},
+	{Partial, "partial", "some services are missing; the answer names them with reasons"},
+	{NothingAnswered, "nothing-answered", "no service answered before the deadline"},
+	{ChangeAccepted, "change-accepted", "the change is durable and has a version"},
+	{ChangeRepeated, "change-repeated", "this change id was accepted before; its first outcome is repeated"},
+	{DocumentValid, "document-valid", "the document passed every check"},
+
+	{Overloaded, "overloaded", "the request could not be answered in time and was not sent to any target"},
+	{UnknownQuery, "unknown-query", "the configuration declares no query or request of this name"},
+	{BadRequest, "bad-request", "the request could not be read"},
+	{Stopping, "stopping", "this VM is leaving; send the request to another one"},
+	{NoConfiguration, "no-configuration", "this VM has no accepted configuration yet"},
+	{NoTarget, "no-target", "no target may receive the request now"},
+	{NoClaim, "no-claim", "the request id could not be claimed at a quorum"},
+	{DeadlineTooShort, "deadline-too-short", "the deadline is out of range"},
+	{TargetRefused, "target-refused", "the target itself refused the request before running it"},
+	{NotAllowed, "not-allowed", "the method or address is not served here"},
+
+	{OutcomeUnknown, "outcome-unknown", "the request left this VM and no answer came back; it may have run"},
+	{ClaimedBefore, "claimed-before", "this request id has run before; the first outcome is repeated"},
+
+	{Syntax, "syntax", "the text is not JSON with comments, or it ends early"},
+	{UnknownKey, "unknown-key", "the key is not known at this place"},
+	{WrongType, "wrong-type", "the value has another type than the key wants"},
+	{MissingKey, "missing-key", "a required key is not there"},
+	{DuplicateName, "duplicate-name", "the name stands twice in the same list"},
+	{NoDataCentre, "no-data-centre", "a target names no data centre, or one that is not declared"},
+	{ServiceWithout, "service-without-leafs", "a service has no leafs"},
+	{QueryWithout, "query-without-services", "a query names no service"},
+	{LimitOutOfRange, "limit-out-of-range", "a number is outside its range"},
+	{UnknownReference, "unknown-reference", "a name refers to nothing that is declared"},
+	{BadAddress, "bad-address", "an address is not an IP number and a port"},
+	{DuplicateKey, "duplicate-key", "the same key stands twice in one object"},
+	{UnknownFormat, "unknown-format", "the format number is not one that this program reads"},
+	{DocumentTooLarge, "document-too-large", "the document is larger than the limit"},
+	{DocumentMissing, "document-missing", "the file could not be opened"},
+	{DuplicateAddress, "duplicate-address", "two targets have the same address"},
+	{EmptyName, "bad-name", "a name is empty or has characters outside a-z, 0-9 and -"},
+
+	{ListenFailed, "listen-failed", "an address of the settings could not be listened on"},
+	{FolderUnusable, "folder-unusable", "the data folder could not be read or written"},
+
+	{VersionConflict, "version-conflict", "the change was made from a version that is no longer the current one"},
+	{NoQuorum, "no-quorum", "the voters could not be reached; the change may be sent again with its id"},
+	{UnknownDataCentre, "unknown-data-centre", "the configuration declares no data centre of this name"},
+	{NothingChanged, "nothing-changed", "the change leaves the configuration as it is"},
+	{ChangeIDReused, "change-id-reused", "the change id belongs to another change"},
+	{NotInForce, "not-in-force", "the wait ended before the version was in force everywhere"},
+	{ChangeUnknown, "change-unknown", "the outcome of the change is not known; send it again with its id"},
+	{NotConfirmed, "not-confirmed", "some VMs have not confirmed the version"},
+
+	{FrameTooLarge, "frame-too-large", "a frame is longer than the limit"},
+	{FrameMalformed, "frame-malformed", "a frame could not be decoded"},
+	{WrongCluster, "wrong-cluster", "a peer belongs to another cluster"},
+	{Unreachable, "unreachable", "no connection to the process could be made"},
+
+	{JournalDamaged, "journal-damaged", "a record in the middle of the journal has a wrong checksum"},
+	{JournalUnusable, "journal-unusable", "the journal could not be written or synced"},
+
+	{Internal, "internal", "a fault of the program; please report it"},
+}
--- /dev/null
+++ b/core/version/configuration/decode.go
@@ -0,0 +1,110 @@
+package configuration
+
+import (
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/core/version/document"
+)
+
+// Ranges of the numbers in a document.
+const (
+	maxEntryVMs      = 100_000
+	maxSlots         = 100_000
+	maxConnections   = 1_000_000
+	maxColdPerSecond = 10_000_000
+	maxCostMillis    = 60_000
+	minDeadline      = 1
+	maxDeadline      = 600_000
+	maxKeepSeconds   = 30 * 24 * 3600
+	defaultKeep      = 24 * 3600
+)
+
+// Decode reads and checks a document. An error is a *document.Faults that
+// lists every fault with its code, place and remedy.
+func Decode(source []byte) (Configuration, error) {
+	doc, err := document.Parse(source)
+	if err != nil {
+		return Configuration{}, err
+	}
+	root := doc.Root()
+	if format := root.Int("format", 0, 1<<30); root.Has("format") && format != Format {
+		doc.Add(result.UnknownFormat, "/format", "this format is not known", "write 1")
+	}
+	cfg := New(
+		root.String("operator"),
+		root.Int("most-entry-vms", 1, maxEntryVMs),
+		decodeDataCentres(root),
+		decodeServices(root),
+		decodeQueries(root),
+		decodeRequests(root),
+	)
+	root.Done()
+	// References are checked only in a document whose values could all be
+	// read; a missing name would be reported twice otherwise.
+	if err := doc.Err(); err != nil {
+		return Configuration{}, err
+	}
+	for _, problem := range cfg.Check() {
+		doc.Add(problem.code, problem.path, problem.message, problem.remedy)
+	}
+	if err := doc.Err(); err != nil {
+		return Configuration{}, err
+	}
+	return cfg, nil
+}
+
+func decodeDataCentres(root *document.Object) []DataCentre {
+	var out []DataCentre
+	for _, o := range root.Objects("data-centres") {
+		out = append(out, NewDataCentre(o.String("name"), o.String("region"), o.BoolOr("in-service", true)))
+		o.Done()
+	}
+	return out
+}
+
+func decodeServices(root *document.Object) []Service {
+	var out []Service
+	for _, o := range root.Objects("services") {
+		limits := NewLimits(
+			o.Int("slots-per-leaf", 1, maxSlots),
+			o.Int("connections-per-leaf", 1, maxConnections),
+			o.Int("cold-capacity-per-second", 1, maxColdPerSecond),
+			o.Milliseconds("connection-cost-ms", 0, maxCostMillis),
+		)
+		out = append(out, NewService(o.String("name"), limits, o.BoolOr("reports-load", true), decodeLeafs(o)))
+		o.Done()
+	}
+	return out
+}
+
+func decodeLeafs(service *document.Object) []Leaf {
+	var out []Leaf
+	for _, o := range service.Objects("leafs") {
+		out = append(out, NewLeaf(o.String("name"), o.StringOr("data-centre", ""), o.String("address")))
+		o.Done()
+	}
+	return out
+}
+
+func decodeQueries(root *document.Object) []Query {
+	var out []Query
+	for _, o := range root.Objects("queries") {
+		out = append(out, NewQuery(o.String("name"), o.Milliseconds("deadline-ms", minDeadline, maxDeadline), o.Strings("services")))
+		o.Done()
+	}
+	return out
+}
+
+func decodeRequests(root *document.Object) []Request {
+	if !root.Has("non-idempotent-requests") {
+		return nil
+	}
+	var out []Request
+	for _, o := range root.Objects("non-idempotent-requests") {
+		keep := time.Duration(o.IntOr("keep-ids-seconds", 1, maxKeepSeconds, defaultKeep)) * time.Second
+		out = append(out, NewRequest(o.String("name"), o.Milliseconds("deadline-ms", minDeadline, maxDeadline), o.String("service"), keep))
+		o.Done()
+	}
+	return out
+}
--- /dev/null
+++ b/core/version/configuration/difference.go
@@ -0,0 +1,84 @@
+package configuration
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Difference is one part that two configurations do not have in common.
+type Difference struct {
+	part   string
+	before string
+	after  string
+}
+
+// Part names what differs, such as "data-centre oulu-1".
+func (d Difference) Part() string { return d.part }
+
+// Before returns the old text, empty where the part is new.
+func (d Difference) Before() string { return d.before }
+
+// After returns the new text, empty where the part was removed.
+func (d Difference) After() string { return d.after }
+
+// String returns the difference in the manner of a patch: +, - or ~ in front.
+func (d Difference) String() string {
+	switch {
+	case d.before == "":
+		return fmt.Sprintf("+ %s: %s", d.part, d.after)
+	case d.after == "":
+		return fmt.Sprintf("- %s: %s", d.part, d.before)
+	}
+	return fmt.Sprintf("~ %s: %s -> %s", d.part, d.before, d.after)
+}
+
+// Diff returns the differences between two configurations, sorted by part.
+// Two configurations without a difference behave the same.
+//
+// For example, taking a data centre out gives
+//
+//	~ data-centre oulu-1: region pohjois-suomi, in service true -> region pohjois-suomi, in service false
+func Diff(before, after Configuration) []Difference {
+	old := before.parts()
+	fresh := after.parts()
+	var out []Difference
+	for part, text := range old {
+		if fresh[part] != text {
+			out = append(out, Difference{part: part, before: text, after: fresh[part]})
+		}
+	}
+	for part, text := range fresh {
+		if _, known := old[part]; !known {
+			out = append(out, Difference{part: part, after: text})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].part < out[j].part })
+	return out
+}
+
+// parts describes each part of the configuration by a line of text.
+func (c Configuration) parts() map[string]string {
+	out := make(map[string]string)
+	if c.operator != "" {
+		out["operator"] = c.operator
+		out["most-entry-vms"] = fmt.Sprint(c.entryVMs)
+	}
+	for _, dc := range c.dataCentres {
+		out["data-centre "+dc.name] = fmt.Sprintf("region %s, in service %t", dc.region, dc.inService)
+	}
+	for _, s := range c.services {
+		out["service "+s.name] = fmt.Sprintf("slots %d, connections %d, connection cost %v, cold capacity %d/s, reports load %t",
+			s.limits.slots, s.limits.connections, s.limits.connectionCost, s.limits.coldPerSecond, s.reportsLoad)
+		for _, l := range s.leafs {
+			out["leaf "+s.name+"/"+l.name] = fmt.Sprintf("data centre %s, address %s", l.dataCentre, l.address)
+		}
+	}
+	for _, q := range c.queries {
+		out["query "+q.name] = fmt.Sprintf("deadline %v, services %s", q.deadline, strings.Join(q.services, " "))
+	}
+	for _, r := range c.requests {
+		out["request "+r.name] = fmt.Sprintf("deadline %v, service %s, ids kept %v", r.deadline, r.service, r.keepIDs)
+	}
+	return out
+}
--- /dev/null
+++ b/core/version/document/fault.go
@@ -0,0 +1,65 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+// Fault is one mistake in a document.
+type Fault struct {
+	code    result.Code
+	path    string
+	line    int
+	column  int
+	message string
+	remedy  string
+}
+
+// Code returns the numbered code of the fault.
+func (f Fault) Code() result.Code { return f.code }
+
+// Path returns the JSON pointer to the place, empty for the whole document.
+func (f Fault) Path() string { return f.path }
+
+// Line returns the line of the place, counted from 1.
+func (f Fault) Line() int { return f.line }
+
+// Column returns the column of the place in bytes, counted from 1.
+func (f Fault) Column() int { return f.column }
+
+// Message says what is wrong.
+func (f Fault) Message() string { return f.message }
+
+// Remedy says what to write instead.
+func (f Fault) Remedy() string { return f.remedy }
+
+// String returns the fault on one line, place first.
+func (f Fault) String() string {
+	place := fmt.Sprintf("line %d, column %d", f.line, f.column)
+	if f.path != "" {
+		place += " (" + f.path + ")"
+	}
+	return fmt.Sprintf("%d %s: %s: %s; %s", f.code, f.code, place, f.message, f.remedy)
+}
+
+// Faults is the error that lists every fault of a document.
+type Faults struct {
+	list []Fault
+}
+
+// List returns the faults in the order in which they were found.
+func (f *Faults) List() []Fault { return f.list }
+
+// Code returns the code of the first fault.
+func (f *Faults) Code() result.Code { return f.list[0].code }
+
+// Error returns one line for each fault.
+func (f *Faults) Error() string {
+	lines := make([]string, 0, len(f.list))
+	for _, fault := range f.list {
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/core/version/document/object.go
@@ -0,0 +1,245 @@
+package document
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+// Object reads the members of one JSON object. Each accessor marks its key as
+// known; Done then reports the keys that nobody asked for.
+type Object struct {
+	doc     *Document
+	path    string
+	offset  int
+	members map[string]*hujson.Value
+	names   map[string]int
+	known   []string
+	broken  bool
+}
+
+func (d *Document) object(value *hujson.Value, path string) *Object {
+	o := &Object{
+		doc:     d,
+		path:    path,
+		offset:  value.StartOffset,
+		members: make(map[string]*hujson.Value),
+		names:   make(map[string]int),
+	}
+	raw, ok := value.Value.(*hujson.Object)
+	if !ok {
+		d.addAt(result.WrongType, path, value.StartOffset, "found %s", "write an object in braces", kindOf(value))
+		o.broken = true
+		return o
+	}
+	for i := range raw.Members {
+		member := &raw.Members[i]
+		name := literalString(&member.Name)
+		if _, twice := o.members[name]; twice {
+			d.addAt(result.DuplicateKey, path+"/"+name, member.Name.StartOffset, "the key %q stands twice", "keep one of the two", name)
+			continue
+		}
+		o.members[name] = &member.Value
+		o.names[name] = member.Name.StartOffset
+	}
+	return o
+}
+
+// Path returns the JSON pointer to the object.
+func (o *Object) Path() string { return o.path }
+
+// Has reports whether the object has the key, and marks it as known.
+func (o *Object) Has(key string) bool {
+	return o.lookup(key) != nil
+}
+
+// String returns a required string.
+func (o *Object) String(key string) string {
+	value := o.required(key, "a string in quotes")
+	if value == nil {
+		return ""
+	}
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		o.wrongType(key, value, "a string in quotes")
+		return ""
+	}
+	return literal.String()
+}
+
+// StringOr returns a string, or a default where the key is not there.
+func (o *Object) StringOr(key, otherwise string) string {
+	if !o.Has(key) {
+		return otherwise
+	}
+	return o.String(key)
+}
+
+// Int returns a required whole number within [low, high].
+func (o *Object) Int(key string, low, high int) int {
+	want := fmt.Sprintf("a whole number from %d to %d", low, high)
+	value := o.required(key, want)
+	if value == nil {
+		return low
+	}
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		o.wrongType(key, value, want)
+		return low
+	}
+	n, err := strconv.Atoi(string(literal))
+	if err != nil {
+		o.wrongType(key, value, want)
+		return low
+	}
+	if n < low || n > high {
+		o.doc.addAt(result.LimitOutOfRange, o.path+"/"+key, value.StartOffset, "%d is out of range", "write "+want, n)
+		return low
+	}
+	return n
+}
+
+// IntOr returns a whole number, or a default where the key is not there.
+func (o *Object) IntOr(key string, low, high, otherwise int) int {
+	if !o.Has(key) {
+		return otherwise
+	}
+	return o.Int(key, low, high)
+}
+
+// Milliseconds returns a required duration written as a whole number of
+// milliseconds within [low, high].
+func (o *Object) Milliseconds(key string, low, high int) time.Duration {
+	return time.Duration(o.Int(key, low, high)) * time.Millisecond
+}
+
+// Bool returns a required truth value.
+func (o *Object) Bool(key string) bool {
+	value := o.required(key, "true or false")
+	if value == nil {
+		return false
+	}
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || (literal.Kind() != 't' && literal.Kind() != 'f') {
+		o.wrongType(key, value, "true or false")
+		return false
+	}
+	return literal.Bool()
+}
+
+// BoolOr returns a truth value, or a default where the key is not there.
+func (o *Object) BoolOr(key string, otherwise bool) bool {
+	if !o.Has(key) {
+		return otherwise
+	}
+	return o.Bool(key)
+}
+
+// Strings returns a required list of strings.
+func (o *Object) Strings(key string) []string {
+	var out []string
+	for i, element := range o.elements(key) {
+		literal, ok := element.Value.(hujson.Literal)
+		if !ok || literal.Kind() != '"' {
+			o.wrongType(key+"/"+strconv.Itoa(i), element, "a string in quotes")
+			continue
+		}
+		out = append(out, literal.String())
+	}
+	return out
+}
+
+// Objects returns a required list of objects.
+func (o *Object) Objects(key string) []*Object {
+	var out []*Object
+	for i, element := range o.elements(key) {
+		out = append(out, o.doc.object(element, o.path+"/"+key+"/"+strconv.Itoa(i)))
+	}
+	return out
+}
+
+// Done reports every key that no accessor asked for.
+func (o *Object) Done() {
+	var unknown []string
+	for name := range o.members {
+		if !o.isKnown(name) {
+			unknown = append(unknown, name)
+		}
+	}
+	sort.Strings(unknown)
+	for _, name := range unknown {
+		o.doc.addAt(result.UnknownKey, o.path+"/"+name, o.names[name], "the key %q is not known here",
+			"use one of "+strings.Join(o.known, ", "), name)
+	}
+}
+
+func (o *Object) isKnown(name string) bool {
+	for _, known := range o.known {
+		if known == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *Object) lookup(key string) *hujson.Value {
+	if !o.isKnown(key) {
+		o.known = append(o.known, key)
+	}
+	return o.members[key]
+}
+
+func (o *Object) required(key, want string) *hujson.Value {
+	value := o.lookup(key)
+	if value == nil && !o.broken {
+		o.doc.addAt(result.MissingKey, o.path, o.offset, "the key %q is missing", "add it with "+want, key)
+	}
+	return value
+}
+
+func (o *Object) elements(key string) []*hujson.Value {
+	value := o.required(key, "a list in brackets")
+	if value == nil {
+		return nil
+	}
+	raw, ok := value.Value.(*hujson.Array)
+	if !ok {
+		o.wrongType(key, value, "a list in brackets")
+		return nil
+	}
+	out := make([]*hujson.Value, 0, len(raw.Elements))
+	for i := range raw.Elements {
+		out = append(out, &raw.Elements[i])
+	}
+	return out
+}
+
+func (o *Object) wrongType(key string, value *hujson.Value, want string) {
+	o.doc.addAt(result.WrongType, o.path+"/"+key, value.StartOffset, "found %s", "write "+want, kindOf(value))
+}
+
+func kindOf(value *hujson.Value) string {
+	switch v := value.Value.(type) {
+	case *hujson.Object:
+		return "an object"
+	case *hujson.Array:
+		return "a list"
+	case hujson.Literal:
+		return string(v)
+	}
+	return "nothing"
+}
+
+func literalString(value *hujson.Value) string {
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok {
+		return ""
+	}
+	return literal.String()
+}
--- /dev/null
+++ b/declaration/examples/abap/main.go
@@ -0,0 +1,53 @@
+// Command abap prints the configuration of Agence Bruxelloise des Activités
+// Parascolaires: regional sign-ups for after-school clubs in four data
+// centres.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/declaration"
+	"github.com/mulberrydale/mulberrydale/declaration/place"
+)
+
+const (
+	region       = "bru"
+	mostEntryVMs = 9
+	firstPort    = 22001
+	keepIDs      = 7 * 24 * time.Hour
+)
+
+func main() {
+	if err := declare().Print(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(4)
+	}
+}
+
+func declare() *declaration.Declaration {
+	d := declaration.New("abap", mostEntryVMs)
+	d.Note("Agence Bruxelloise des Activités Parascolaires: regional sign-ups.")
+	centres := []string{"bru-a", "bru-b", "bru-c", "bru-d"}
+	for _, centre := range centres {
+		d.DataCentre(centre, region)
+	}
+	ports := place.NewPorts("127.0.0.1", firstPort, centres...)
+	families := declaration.NewLimits(2, 25, 6*time.Millisecond, 30)
+	registers := declaration.NewLimits(6, 50, time.Millisecond, 90)
+
+	parents := ports.Services(d, "portail-parents", 10, 3, families)
+	ecoles := ports.Services(d, "guichet-ecoles", 15, 3, families)
+	clubs := d.Service("registre-clubs", registers)
+	ports.Leafs(clubs, 7)
+	suivi := d.Service("suivi-coord", registers)
+	ports.Leafs(suivi, 4)
+
+	d.Query("portail-parents", "Parents search for open places.", 260*time.Millisecond, parents...)
+	d.Query("guichet-ecoles", "School secretaries check rosters.", 260*time.Millisecond, ecoles...)
+	d.Query("registre-clubs", "Clubs and their rooms.", 300*time.Millisecond, clubs)
+	d.Query("suivi-coord", "Coordinators see the children of the afternoon.", 300*time.Millisecond, suivi)
+	d.NonIdempotentRequest("confirmation", "Confirms one child on one seat; never twice.", time.Second, suivi, keepIDs)
+	return d
+}
