--- /dev/null
+++ b/core/connection/leaf/pool.go
@@ -0,0 +1,221 @@
+package leaf
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+const (
+	dialTimeout     = 500 * time.Millisecond
+	idleTimeout     = 90 * time.Second
+	maxHeaderBytes  = 16 << 10
+	drainBodyBytes  = 64 << 10
+	retiredFor      = time.Minute
+	probePath       = "/health"
+	runPath         = "/run/"
+	contentTypeJSON = "application/json"
+)
+
+// Pool holds the connections of this VM to one leaf. It never opens more than
+// its share of the leaf's connections.
+type Pool struct {
+	address string
+	tokens  chan struct{}
+	dials   atomic.Int64
+
+	mu        sync.Mutex
+	transport *http.Transport
+	renewed   time.Time
+	retired   []retiredTransport
+}
+
+// retiredTransport still owns connections with requests in flight. They turn
+// idle one by one and are closed by the next sweep.
+type retiredTransport struct {
+	transport *http.Transport
+	since     time.Time
+}
+
+// NewPool returns a pool for the leaf at the address with a share of at least
+// one connection.
+func NewPool(address string, share int) *Pool {
+	p := &Pool{address: address, tokens: make(chan struct{}, max(share, 1))}
+	p.transport = p.newTransport()
+	return p
+}
+
+// Share returns the most connections that the pool opens.
+func (p *Pool) Share() int { return cap(p.tokens) }
+
+// Open returns the number of connections that are open now.
+func (p *Pool) Open() int { return len(p.tokens) }
+
+// Dials returns the number of connections opened so far.
+func (p *Pool) Dials() int64 { return p.dials.Load() }
+
+// Renew abandons all connections that are idle and opens new ones for what
+// comes next. Connections in use close when their request ends. Calls within
+// the interval after the last renewal change nothing, so that many requests
+// that find the same silence cause one round of dials.
+func (p *Pool) Renew(now time.Time, interval time.Duration) {
+	p.mu.Lock()
+	if now.Sub(p.renewed) < interval {
+		p.mu.Unlock()
+		return
+	}
+	p.renewed = now
+	p.retired = append(p.retired, retiredTransport{transport: p.transport, since: now})
+	p.transport = p.newTransport()
+	p.mu.Unlock()
+	p.Sweep(now)
+}
+
+// Sweep closes the connections of renewed pools that have turned idle since.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.retired[:0]
+	for _, r := range p.retired {
+		r.transport.CloseIdleConnections()
+		if now.Sub(r.since) < retiredFor {
+			kept = append(kept, r)
+		}
+	}
+	p.retired = kept
+}
+
+// Close closes the idle connections; those in use end with their request.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.transport.CloseIdleConnections()
+	for _, r := range p.retired {
+		r.transport.CloseIdleConnections()
+	}
+}
+
+// Run sends a sub-request and judges the response. It returns at the latest
+// when ctx ends.
+func (p *Pool) Run(ctx context.Context, request Request, now time.Time) Outcome {
+	var sent atomic.Bool
+	if request.once {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		})
+	}
+	res, err := p.current().RoundTrip(p.httpRequest(ctx, request, now))
+	if err != nil {
+		// Without a trace nothing is known, so the safe side is taken.
+		left := !request.once || sent.Load()
+		return Failed{sent: left, silent: ctx.Err() != nil, err: result.Wrap(err, result.Unreachable, "leaf %s", p.address)}
+	}
+	defer res.Body.Close()
+	outcome := readOutcome(res, request.id)
+	// What is left of a body is read so that the connection can be used again.
+	_, _ = io.CopyN(io.Discard, res.Body, drainBodyBytes)
+	return outcome
+}
+
+// Probe asks the leaf for its health and returns its report.
+func (p *Pool) Probe(ctx context.Context) (Report, error) {
+	req := (&http.Request{
+		Method: http.MethodGet,
+		URL:    p.url(probePath),
+		Header: make(http.Header),
+		Host:   p.address,
+	}).WithContext(ctx)
+	res, err := p.current().RoundTrip(req)
+	if err != nil {
+		return Report{}, result.Wrap(err, result.Unreachable, "leaf %s", p.address)
+	}
+	defer res.Body.Close()
+	_, _ = io.CopyN(io.Discard, res.Body, drainBodyBytes)
+	if res.StatusCode != http.StatusOK {
+		return Report{}, result.New(result.Unreachable, "leaf %s: health status %d", p.address, res.StatusCode)
+	}
+	return readReport(res.Header), nil
+}
+
+// httpRequest builds the request without GetBody and without the header
+// Idempotency-Key: with either of them Go's transport would send a request
+// again by itself after a reused connection closed.
+func (p *Pool) httpRequest(ctx context.Context, request Request, now time.Time) *http.Request {
+	header := make(http.Header, 6)
+	header[headerRequestID] = []string{request.id}
+	header[headerSnapshot] = []string{request.snapshot}
+	header[headerOperation] = []string{request.operation}
+	header[headerDeadline] = []string{strconv.FormatInt(request.deadline.Sub(now).Milliseconds(), 10)}
+	header["Content-Type"] = []string{contentTypeJSON}
+	req := &http.Request{
+		Method:        http.MethodPost,
+		URL:           p.url(runPath + request.service),
+		Header:        header,
+		Host:          p.address,
+		Body:          io.NopCloser(bytes.NewReader(request.parameters)),
+		ContentLength: int64(len(request.parameters)),
+	}
+	return req.WithContext(ctx)
+}
+
+func (p *Pool) url(path string) *url.URL {
+	return &url.URL{Scheme: "http", Host: p.address, Path: path}
+}
+
+func (p *Pool) current() *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.transport
+}
+
+func (p *Pool) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            p.dial,
+		MaxIdleConnsPerHost:    cap(p.tokens),
+		MaxConnsPerHost:        cap(p.tokens),
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// dial waits for a free place in the share before it opens a connection.
+func (p *Pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	select {
+	case p.tokens <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	p.dials.Add(1)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		<-p.tokens
+		return nil, err
+	}
+	return &countedConn{Conn: conn, pool: p}, nil
+}
+
+// countedConn gives its place in the share back when it closes.
+type countedConn struct {
+	net.Conn
+	pool *Pool
+	once sync.Once
+}
+
+// Close closes the connection and frees its place, once.
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { <-c.pool.tokens })
+	return err
+}
--- /dev/null
+++ b/core/connection/leaf/wire.go
@@ -0,0 +1,82 @@
+package leaf
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// Header names of the targets' wire form.
+const (
+	headerRequestID = "Request-Id"
+	headerSnapshot  = "Snapshot"
+	headerHeld      = "Snapshots"
+	headerDeadline  = "Deadline-Ms"
+	headerOperation = "Operation"
+	headerStartID   = "Start-Id"
+	headerState     = "State"
+	headerLoad      = "Load"
+	headerNotRun    = "Not-Run"
+)
+
+// maxBodyBytes bounds the result of one leaf.
+const maxBodyBytes = 1 << 20
+
+// readReport maps the headers of a response by hand.
+func readReport(h http.Header) Report {
+	report := Report{startID: h.Get(headerStartID)}
+	switch h.Get(headerState) {
+	case "cold":
+		report.state = SaysCold
+	case "warm":
+		report.state = SaysWarm
+	case "leaving":
+		report.state = SaysLeaving
+	}
+	if held := h.Get(headerHeld); held != "" {
+		report.snapshots = strings.Split(held, ",")
+	}
+	if load, err := strconv.ParseFloat(h.Get(headerLoad), 64); err == nil && load >= 0 {
+		report.load = load
+		report.hasLoad = true
+	}
+	return report
+}
+
+// readOutcome judges a response. A result counts only when the id is echoed,
+// the declared length was read to the end and the body is one JSON value.
+func readOutcome(res *http.Response, id string) Outcome {
+	report := readReport(res.Header)
+	if res.Header.Get(headerRequestID) != id {
+		return Unusable{reason: "crossed"}
+	}
+	switch res.Header.Get(headerNotRun) {
+	case "":
+	case "snapshot":
+		return Refused{report: report, reason: RefusedSnapshot}
+	case "leaving":
+		return Refused{report: report, reason: RefusedLeaving}
+	default:
+		return Refused{report: report, reason: RefusedShed}
+	}
+	if res.StatusCode != http.StatusOK {
+		return Unusable{reason: "status " + strconv.Itoa(res.StatusCode)}
+	}
+	if res.ContentLength < 0 {
+		return Unusable{reason: "no length"}
+	}
+	if res.ContentLength > maxBodyBytes {
+		return Unusable{reason: "oversized"}
+	}
+	body := make([]byte, res.ContentLength)
+	if _, err := io.ReadFull(res.Body, body); err != nil {
+		return Unusable{reason: "truncated"}
+	}
+	if !jsontext.Value(body).IsValid() {
+		return Unusable{reason: "malformed"}
+	}
+	return Answered{report: report, snapshot: res.Header.Get(headerSnapshot), body: body}
+}
--- /dev/null
+++ b/core/process/entry/counters.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/leaf"
+	"github.com/mulberrydale/mulberrydale/core/request/query"
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+// counters are the entry role's metrics.
+type counters struct {
+	answers   tally.Scope
+	seconds   tally.Histogram
+	missing   tally.Counter
+	sent      tally.Counter
+	answered  tally.Counter
+	refused   tally.Counter
+	unusable  tally.Counter
+	failed    tally.Counter
+	byCode    map[result.Code]tally.Counter
+	callsOpen tally.Gauge
+}
+
+func newCounters(scope tally.Scope) *counters {
+	c := &counters{
+		answers:   scope,
+		seconds:   scope.Histogram("answer_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
+		missing:   scope.Counter("services_missing"),
+		sent:      scope.Counter("sub_requests"),
+		answered:  scope.Counter("sub_requests_answered"),
+		refused:   scope.Counter("sub_requests_refused"),
+		unusable:  scope.Counter("sub_requests_unusable"),
+		failed:    scope.Counter("sub_requests_failed"),
+		callsOpen: scope.Gauge("requests_running"),
+		byCode:    make(map[result.Code]tally.Counter),
+	}
+	for _, row := range result.Table() {
+		c.byCode[row.Code()] = scope.Tagged(map[string]string{"result": row.Name()}).Counter("answers")
+	}
+	return c
+}
+
+// settled counts the outcome of a sub-request.
+func (c *counters) settled(outcome leaf.Outcome) {
+	c.sent.Inc(1)
+	switch outcome.(type) {
+	case leaf.Answered:
+		c.answered.Inc(1)
+	case leaf.Refused:
+		c.refused.Inc(1)
+	case leaf.Unusable:
+		c.unusable.Inc(1)
+	case leaf.Failed:
+		c.failed.Inc(1)
+	}
+}
+
+// gave counts an answer to a caller.
+func (c *counters) gave(answer query.Answer, took time.Duration) {
+	c.byCode[answer.Code()].Inc(1)
+	c.seconds.RecordDuration(took)
+	c.missing.Inc(int64(len(answer.Coverage().Missing())))
+}
--- /dev/null
+++ b/core/process/entry/serving.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/target"
+	"github.com/mulberrydale/mulberrydale/core/request/hedge"
+	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+	"github.com/mulberrydale/mulberrydale/core/version/snapshot"
+)
+
+// serving is what one configuration version means for this VM. It never
+// changes; a query that started under it keeps it until its end.
+type serving struct {
+	version  uint64
+	queries  map[string]*servingQuery
+	requests map[string]*servingRequest
+}
+
+// servingQuery is a declared query with the services that it spans.
+type servingQuery struct {
+	deadline time.Duration
+	names    []string
+	services []*service
+}
+
+// servingRequest is a declared non-idempotent request.
+type servingRequest struct {
+	deadline time.Duration
+	keepIDs  time.Duration
+	service  *service
+}
+
+// service is a declared service under one version. Its budget and latency
+// outlive the version.
+type service struct {
+	name    string
+	targets []*target.Target
+	budget  *hedge.Budget
+	latency *hedge.Latency
+}
+
+// history is what is known of a service across versions.
+type history struct {
+	budget  *hedge.Budget
+	latency *hedge.Latency
+}
+
+// newServing works out a version. The histories of known services are taken
+// from and added to the map.
+func newServing(version uint64, cfg configuration.Configuration, targets map[string][]*target.Target, histories map[string]history) *serving {
+	services := make(map[string]*service)
+	for _, s := range cfg.Services() {
+		known, ok := histories[s.Name()]
+		if !ok {
+			known = history{budget: hedge.NewBudget(), latency: hedge.NewLatency()}
+			histories[s.Name()] = known
+		}
+		services[s.Name()] = &service{
+			name:    s.Name(),
+			targets: targets[s.Name()],
+			budget:  known.budget,
+			latency: known.latency,
+		}
+	}
+	out := &serving{
+		version:  version,
+		queries:  make(map[string]*servingQuery),
+		requests: make(map[string]*servingRequest),
+	}
+	for _, q := range cfg.Queries() {
+		query := &servingQuery{deadline: q.Deadline(), names: q.Services()}
+		for _, name := range q.Services() {
+			query.services = append(query.services, services[name])
+		}
+		out.queries[q.Name()] = query
+	}
+	for _, r := range cfg.Requests() {
+		out.requests[r.Name()] = &servingRequest{
+			deadline: r.Deadline(),
+			keepIDs:  r.KeepIDs(),
+			service:  services[r.Service()],
+		}
+	}
+	return out
+}
+
+// chooseSnapshot returns the snapshot that the most services can serve now,
+// and how many of them can.
+func (q *servingQuery) chooseSnapshot() (name string, servable int) {
+	holdings := make([]snapshot.Holdings, 0, len(q.services))
+	for _, s := range q.services {
+		var held []string
+		for _, t := range s.targets {
+			held = append(held, t.Holdings()...)
+		}
+		holdings = append(holdings, snapshot.NewHoldings(held))
+	}
+	return snapshot.Choose(holdings)
+}
--- /dev/null
+++ b/core/process/journal/journal.go
@@ -0,0 +1,189 @@
+// Package journal keeps records in a data folder: each with its length and
+// a checksum, synced before anything that depends on it happens. A torn tail
+// is cut at the start; damage in the middle is refused.
+package journal
+
+import (
+	"encoding/binary"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+const (
+	// fileName is the journal in its data folder.
+	fileName = "journal"
+	// nextName is a journal that is being written anew.
+	nextName = "journal.next"
+	// headerBytes is the length and the checksum in front of each record.
+	headerBytes = 12
+	// maxRecordBytes bounds a record.
+	maxRecordBytes = 128 << 20
+)
+
+// Journal is an open journal. It is not safe for concurrent use.
+type Journal struct {
+	folder string
+	file   *os.File
+	size   int64
+}
+
+// Open opens the journal of a folder, made where it is missing, and returns
+// the records that it holds.
+func Open(folder string) (*Journal, [][]byte, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, nil, result.Wrap(err, result.FolderUnusable, "data folder")
+	}
+	// A journal that was not finished before a crash is void.
+	_ = os.Remove(filepath.Join(folder, nextName))
+	file, err := os.OpenFile(filepath.Join(folder, fileName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, nil, result.Wrap(err, result.FolderUnusable, "journal")
+	}
+	text, err := io.ReadAll(file)
+	if err != nil {
+		return nil, nil, result.Wrap(err, result.FolderUnusable, "journal")
+	}
+	records, whole, err := parse(text)
+	if err != nil {
+		return nil, nil, err
+	}
+	j := &Journal{folder: folder, file: file, size: whole}
+	if err := j.cutTail(int64(len(text))); err != nil {
+		return nil, nil, err
+	}
+	return j, records, syncFolder(folder)
+}
+
+// parse returns the whole records and the length that they take. A record that
+// is short or has a wrong checksum at the very end was torn by a crash. One
+// with whole records after it is damage: cutting there would forget what was
+// acknowledged.
+func parse(text []byte) (records [][]byte, whole int64, err error) {
+	at := 0
+	for at < len(text) {
+		record, next, ok := parseOne(text, at)
+		if !ok {
+			if followed(text, at) {
+				return nil, 0, result.New(result.JournalDamaged,
+					"the record at byte %d has a wrong checksum and whole records follow it; move the folder away and start the VM with an empty one, it will be repaired from the other voters", at)
+			}
+			break
+		}
+		records = append(records, record)
+		at = next
+	}
+	return records, int64(at), nil
+}
+
+func parseOne(text []byte, at int) (record []byte, next int, ok bool) {
+	if len(text)-at < headerBytes {
+		return nil, 0, false
+	}
+	length := int(binary.BigEndian.Uint32(text[at:]))
+	sum := binary.BigEndian.Uint64(text[at+4:])
+	start := at + headerBytes
+	if length == 0 || length > maxRecordBytes || len(text)-start < length {
+		return nil, 0, false
+	}
+	record = text[start : start+length]
+	return record, start + length, xxhash.Sum64(record) == sum
+}
+
+// followed reports whether a whole record starts anywhere after a place. The
+// checksum makes a chance match practically impossible.
+func followed(text []byte, at int) bool {
+	for i := at + 1; i+headerBytes < len(text); i++ {
+		if _, _, ok := parseOne(text, i); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *Journal) cutTail(length int64) error {
+	if length > j.size {
+		if err := j.file.Truncate(j.size); err != nil {
+			return result.Wrap(err, result.JournalUnusable, "cutting the torn tail")
+		}
+		if err := j.file.Sync(); err != nil {
+			return result.Wrap(err, result.JournalUnusable, "cutting the torn tail")
+		}
+	}
+	if _, err := j.file.Seek(j.size, io.SeekStart); err != nil {
+		return result.Wrap(err, result.JournalUnusable, "journal")
+	}
+	return nil
+}
+
+// Size returns the length of the journal in bytes.
+func (j *Journal) Size() int64 { return j.size }
+
+// Append writes records and syncs them together. After an error the journal
+// must not be used any more: nobody knows what is on the disk.
+func (j *Journal) Append(records [][]byte) error {
+	written, err := write(j.file, records)
+	j.size += written
+	return err
+}
+
+func write(file *os.File, records [][]byte) (int64, error) {
+	var buffer []byte
+	for _, r := range records {
+		var header [headerBytes]byte
+		binary.BigEndian.PutUint32(header[:], uint32(len(r)))
+		binary.BigEndian.PutUint64(header[4:], xxhash.Sum64(r))
+		buffer = append(append(buffer, header[:]...), r...)
+	}
+	n, err := file.Write(buffer)
+	if err != nil {
+		return int64(n), result.Wrap(err, result.JournalUnusable, "writing")
+	}
+	if err := file.Sync(); err != nil {
+		return int64(n), result.Wrap(err, result.JournalUnusable, "syncing")
+	}
+	return int64(n), nil
+}
+
+// Replace puts a new journal of the given records in place of the present
+// one. A crash leaves either the old or the new one.
+func (j *Journal) Replace(records [][]byte) error {
+	path := filepath.Join(j.folder, nextName)
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return result.Wrap(err, result.JournalUnusable, "new journal")
+	}
+	size, err := write(file, records)
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(path, filepath.Join(j.folder, fileName)); err != nil {
+		return result.Wrap(err, result.JournalUnusable, "new journal")
+	}
+	if err := syncFolder(j.folder); err != nil {
+		return err
+	}
+	old := j.file
+	j.file = file
+	j.size = size
+	return old.Close()
+}
+
+// Close closes the journal.
+func (j *Journal) Close() error { return j.file.Close() }
+
+func syncFolder(folder string) error {
+	dir, err := os.Open(folder)
+	if err != nil {
+		return result.Wrap(err, result.FolderUnusable, "data folder")
+	}
+	defer dir.Close()
+	if err := dir.Sync(); err != nil {
+		return result.Wrap(err, result.FolderUnusable, "data folder")
+	}
+	return nil
+}
--- /dev/null
+++ b/core/process/replica/codec.go
@@ -0,0 +1,221 @@
+package replica
+
+import (
+	"github.com/mulberrydale/mulberrydale/core/connection/frame"
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+// Kinds of messages on the wire.
+const (
+	wireVoteRequest = iota + 1
+	wireVoteReply
+	wireAppend
+	wireAppendReply
+	wireInstall
+	wireJoin
+)
+
+// EncodeEnvelope writes a message with its sender and receiver.
+func EncodeEnvelope(e Envelope) []byte {
+	enc := frame.NewEncoder()
+	encodeMember(enc, e.from)
+	encodeMember(enc, e.to)
+	switch m := e.message.(type) {
+	case VoteRequest:
+		enc.Uint(wireVoteRequest)
+		enc.Uint(m.term)
+		enc.Bool(m.pre)
+		enc.Uint(m.lastIndex)
+		enc.Uint(m.lastTerm)
+	case VoteReply:
+		enc.Uint(wireVoteReply)
+		enc.Uint(m.term)
+		enc.Bool(m.pre)
+		enc.Bool(m.granted)
+	case Append:
+		enc.Uint(wireAppend)
+		encodeAppend(enc, m)
+	case AppendReply:
+		enc.Uint(wireAppendReply)
+		enc.Uint(m.term)
+		enc.Bool(m.matched)
+		enc.Uint(m.index)
+		enc.Time(m.sentAt)
+	case Install:
+		enc.Uint(wireInstall)
+		enc.Uint(m.term)
+		encodeSnapshot(enc, m.snapshot)
+		enc.Time(m.sentAt)
+	case Join:
+		enc.Uint(wireJoin)
+		encodeMember(enc, m.member)
+	}
+	return enc.Payload()
+}
+
+// DecodeEnvelope reads a message with its sender and receiver.
+func DecodeEnvelope(payload []byte) (Envelope, error) {
+	dec := frame.NewDecoder(payload)
+	e := Envelope{from: decodeMember(dec), to: decodeMember(dec)}
+	switch kind := dec.Uint(); kind {
+	case wireVoteRequest:
+		e.message = VoteRequest{term: dec.Uint(), pre: dec.Bool(), lastIndex: dec.Uint(), lastTerm: dec.Uint()}
+	case wireVoteReply:
+		e.message = VoteReply{term: dec.Uint(), pre: dec.Bool(), granted: dec.Bool()}
+	case wireAppend:
+		e.message = decodeAppend(dec)
+	case wireAppendReply:
+		e.message = AppendReply{term: dec.Uint(), matched: dec.Bool(), index: dec.Uint(), sentAt: dec.Time()}
+	case wireInstall:
+		e.message = Install{term: dec.Uint(), snapshot: decodeSnapshot(dec), sentAt: dec.Time()}
+	case wireJoin:
+		e.message = Join{member: decodeMember(dec)}
+	default:
+		dec.Fail("an unknown kind of message")
+	}
+	return e, dec.Err()
+}
+
+func encodeMember(enc *frame.Encoder, m Member) {
+	enc.String(string(m.id))
+	enc.String(m.vm)
+}
+
+func decodeMember(dec *frame.Decoder) Member {
+	return Member{id: ID(dec.String()), vm: dec.String()}
+}
+
+func encodeVoters(enc *frame.Encoder, v Voters) {
+	enc.Uint(uint64(len(v.members)))
+	for _, m := range v.members {
+		encodeMember(enc, m)
+	}
+}
+
+func decodeVoters(dec *frame.Decoder) Voters {
+	n := dec.Len()
+	var members []Member
+	for range n {
+		members = append(members, decodeMember(dec))
+	}
+	return NewVoters(members)
+}
+
+func encodeEntry(enc *frame.Encoder, e Entry) {
+	enc.Uint(e.index)
+	enc.Uint(e.term)
+	enc.Uint(uint64(e.kind))
+	enc.Bytes(e.payload)
+	if e.kind == VoterChange {
+		encodeVoters(enc, e.voters)
+	}
+}
+
+func decodeEntry(dec *frame.Decoder) Entry {
+	e := Entry{index: dec.Uint(), term: dec.Uint()}
+	kind := dec.Uint()
+	if kind > uint64(CommandEntry) {
+		dec.Fail("an unknown kind of entry")
+	}
+	e.kind = EntryKind(kind)
+	e.payload = dec.Bytes()
+	if e.kind == VoterChange {
+		e.voters = decodeVoters(dec)
+	}
+	return e
+}
+
+func encodeAppend(enc *frame.Encoder, m Append) {
+	enc.Uint(m.term)
+	enc.Uint(m.prevIndex)
+	enc.Uint(m.prevTerm)
+	enc.Uint(m.commit)
+	enc.Time(m.sentAt)
+	enc.Duration(m.quorumAge)
+	enc.Uint(uint64(len(m.entries)))
+	for _, e := range m.entries {
+		encodeEntry(enc, e)
+	}
+}
+
+func decodeAppend(dec *frame.Decoder) Append {
+	m := Append{
+		term:      dec.Uint(),
+		prevIndex: dec.Uint(),
+		prevTerm:  dec.Uint(),
+		commit:    dec.Uint(),
+		sentAt:    dec.Time(),
+		quorumAge: dec.Duration(),
+	}
+	n := dec.Len()
+	for i := range n {
+		e := decodeEntry(dec)
+		if e.index != m.prevIndex+uint64(i)+1 {
+			dec.Fail("the entries of an append do not follow each other")
+		}
+		m.entries = append(m.entries, e)
+	}
+	return m
+}
+
+func encodeSnapshot(enc *frame.Encoder, s Snapshot) {
+	enc.Uint(s.index)
+	enc.Uint(s.term)
+	encodeVoters(enc, s.voters)
+	enc.Bytes(s.state)
+}
+
+func decodeSnapshot(dec *frame.Decoder) Snapshot {
+	return Snapshot{index: dec.Uint(), term: dec.Uint(), voters: decodeVoters(dec), state: dec.Bytes()}
+}
+
+// Kinds of records on disk.
+const (
+	diskHard = iota + 1
+	diskCut
+	diskEntry
+	diskSnapshot
+)
+
+// EncodeRecord writes a record for the journal.
+func EncodeRecord(record Record) []byte {
+	enc := frame.NewEncoder()
+	switch r := record.(type) {
+	case HardRecord:
+		enc.Uint(diskHard)
+		enc.Uint(r.hard.term)
+		enc.String(string(r.hard.vote))
+	case CutRecord:
+		enc.Uint(diskCut)
+		enc.Uint(r.from)
+	case EntryRecord:
+		enc.Uint(diskEntry)
+		encodeEntry(enc, r.entry)
+	case SnapshotRecord:
+		enc.Uint(diskSnapshot)
+		encodeSnapshot(enc, r.snapshot)
+	}
+	return enc.Payload()
+}
+
+// DecodeRecord reads a record of the journal.
+func DecodeRecord(payload []byte) (Record, error) {
+	dec := frame.NewDecoder(payload)
+	var out Record
+	switch dec.Uint() {
+	case diskHard:
+		out = HardRecord{hard: HardState{term: dec.Uint(), vote: ID(dec.String())}}
+	case diskCut:
+		out = CutRecord{from: dec.Uint()}
+	case diskEntry:
+		out = EntryRecord{entry: decodeEntry(dec)}
+	case diskSnapshot:
+		out = SnapshotRecord{snapshot: decodeSnapshot(dec)}
+	default:
+		dec.Fail("an unknown kind of record")
+	}
+	if err := dec.Err(); err != nil {
+		return nil, result.Wrap(err, result.JournalDamaged, "a record can't be read")
+	}
+	return out, nil
+}
--- /dev/null
+++ b/core/process/replica/node.go
@@ -0,0 +1,287 @@
+package replica
+
+import "time"
+
+const (
+	// HeartbeatInterval is the time between two appends of an idle leader.
+	HeartbeatInterval = 100 * time.Millisecond
+	// electionTimeout is the least time without a leader before an election;
+	// up to as much again is drawn on top.
+	electionTimeout = 600 * time.Millisecond
+	// maxEntriesPerAppend bounds one append.
+	maxEntriesPerAppend = 256
+)
+
+// Role is what a replica does at present.
+type Role int
+
+// The roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// HardState is what a replica must remember across restarts.
+type HardState struct {
+	term uint64
+	vote ID
+}
+
+// Output is what a step asks of the shell, in this order: write and sync, then
+// send, then apply.
+type Output struct {
+	hard      *HardState
+	cutFrom   uint64
+	entries   []Entry
+	snapshot  *Snapshot
+	envelopes []Envelope
+}
+
+// Written reports whether the output holds anything to write.
+func (o Output) Written() bool {
+	return o.hard != nil || o.cutFrom > 0 || len(o.entries) > 0 || o.snapshot != nil
+}
+
+// Envelopes returns the messages to send once everything is synced.
+func (o Output) Envelopes() []Envelope { return o.envelopes }
+
+// Installed returns the snapshot that replaces the state, or nil.
+func (o Output) Installed() *Snapshot { return o.snapshot }
+
+// progress is what a leader knows of another replica.
+type progress struct {
+	next    uint64
+	match   uint64
+	ackedAt time.Time
+	// inFlight is set while entries are on their way, so that a slow replica
+	// is not sent the same entries with each heartbeat.
+	inFlight bool
+	sentAt   time.Time
+}
+
+// Node is one replica. It is not safe for concurrent use.
+type Node struct {
+	self    Member
+	named   []string
+	pick    func(n int) int
+	hard    HardState
+	log     tail
+	commit  uint64
+	synced  uint64
+	role    Role
+	leader  Member
+	heardAt time.Time
+	// leaseAge is the leader's word, at heardAt, on its touch with a quorum.
+	leaseAge   time.Duration
+	electionAt time.Time
+	beatAt     time.Time
+	leadsSince time.Time
+	votes      map[ID]bool
+	peers      map[ID]*progress
+	learners   map[ID]Member
+	out        Output
+}
+
+// NewNode returns a replica with the memory of its data folder. The names are
+// the VMs that may be voters; pick returns a random number below its argument.
+func NewNode(self Member, named []string, memory Memory, pick func(n int) int, now time.Time) *Node {
+	n := &Node{
+		self:   self,
+		named:  named,
+		pick:   pick,
+		hard:   memory.hard,
+		log:    tail{snapshot: memory.snapshot, entries: memory.entries},
+		commit: memory.snapshot.index,
+	}
+	n.synced = n.log.lastIndex()
+	n.resetElection(now)
+	return n
+}
+
+// Founded reports whether the replica has a log or knows its voters.
+func (n *Node) Founded() bool {
+	voters, _ := n.log.voters()
+	return len(voters.members) > 0
+}
+
+// Found writes the first set of voters. Only one VM may do so, once it knows
+// that no other has a log.
+func (n *Node) Found(voters Voters, now time.Time) {
+	if n.Founded() {
+		return
+	}
+	s := Snapshot{voters: voters}
+	n.log.compact(s)
+	n.out.snapshot = &s
+	n.resetElection(now)
+}
+
+// Self returns the replica itself.
+func (n *Node) Self() Member { return n.self }
+
+// Role returns what the replica does at present.
+func (n *Node) Role() Role { return n.role }
+
+// Term returns the present term.
+func (n *Node) Term() uint64 { return n.hard.term }
+
+// Leader returns the leader of the present term, if it is known.
+func (n *Node) Leader() (Member, bool) { return n.leader, n.leader.id != "" }
+
+// Commit returns the last index that is committed.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// LastIndex returns the last index of the log.
+func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
+
+// Voters returns the latest set of voters.
+func (n *Node) Voters() Voters {
+	voters, _ := n.log.voters()
+	return voters
+}
+
+// Committed returns the committed entries after an index.
+func (n *Node) Committed(after uint64) []Entry {
+	if after >= n.commit || after < n.log.snapshot.index {
+		return nil
+	}
+	return n.log.from(after+1, int(n.commit-after))
+}
+
+// TakeOutput returns what the steps since the last call ask for.
+func (n *Node) TakeOutput() Output {
+	out := n.out
+	n.out = Output{}
+	return out
+}
+
+// Synced tells the node that everything taken so far is on disk.
+func (n *Node) Synced(now time.Time) {
+	n.synced = n.log.lastIndex()
+	if n.role == Leader {
+		n.advance(now)
+	}
+}
+
+// Compact replaces the entries up to an index that has been applied by the
+// state after it.
+func (n *Node) Compact(index uint64, state []byte) (Snapshot, bool) {
+	term, ok := n.log.term(index)
+	if !ok || index > n.commit || index <= n.log.snapshot.index {
+		return Snapshot{}, false
+	}
+	s := Snapshot{index: index, term: term, voters: n.votersAt(index), state: state}
+	n.log.compact(s)
+	return s, true
+}
+
+// votersAt returns the set of voters that was the latest at an index.
+func (n *Node) votersAt(index uint64) Voters {
+	for i := len(n.log.entries) - 1; i >= 0; i-- {
+		e := n.log.entries[i]
+		if e.kind == VoterChange && e.index <= index {
+			return e.voters
+		}
+	}
+	return n.log.snapshot.voters
+}
+
+// QuorumAge returns how long ago, at most, the leader of this replica was in
+// touch with a quorum. It is very long where no leader is known.
+func (n *Node) QuorumAge(now time.Time) time.Duration {
+	switch {
+	case n.role == Leader:
+		return now.Sub(n.quorumAt(now))
+	case n.leader.id != "":
+		return n.leaseAge + now.Sub(n.heardAt)
+	}
+	return farAway
+}
+
+// farAway is longer than any lease.
+const farAway = 24 * time.Hour
+
+// Tick does what is due at the present time.
+func (n *Node) Tick(now time.Time) {
+	if n.role == Leader {
+		n.tickLeader(now)
+		return
+	}
+	if !now.Before(n.electionAt) {
+		n.startElection(now)
+	}
+}
+
+// Next returns the time at which Tick has something to do.
+func (n *Node) Next() time.Time {
+	if n.role == Leader {
+		return n.beatAt
+	}
+	return n.electionAt
+}
+
+// Step takes in a message. Messages addressed to another life of the VM are
+// dropped.
+func (n *Node) Step(e Envelope, now time.Time) {
+	if e.to.id != n.self.id {
+		return
+	}
+	switch m := e.message.(type) {
+	case VoteRequest:
+		n.stepVoteRequest(e.from, m, now)
+	case VoteReply:
+		n.stepVoteReply(e.from, m, now)
+	case Append:
+		n.stepAppend(e.from, m, now)
+	case AppendReply:
+		n.stepAppendReply(e.from, m, now)
+	case Install:
+		n.stepInstall(e.from, m, now)
+	case Join:
+		n.stepJoin(m, now)
+	}
+}
+
+// Propose appends a command and returns its index, false where this replica
+// does not lead.
+func (n *Node) Propose(payload []byte) (index, term uint64, ok bool) {
+	if n.role != Leader {
+		return 0, 0, false
+	}
+	e := n.append(CommandEntry, payload, Voters{})
+	return e.index, e.term, true
+}
+
+// Flush sends what was proposed since the last call.
+func (n *Node) Flush(now time.Time) {
+	if n.role == Leader {
+		n.replicate(now)
+	}
+}
+
+func (n *Node) append(kind EntryKind, payload []byte, voters Voters) Entry {
+	e := Entry{index: n.log.lastIndex() + 1, term: n.hard.term, kind: kind, payload: payload, voters: voters}
+	n.log.entries = append(n.log.entries, e)
+	n.out.entries = append(n.out.entries, e)
+	return e
+}
+
+func (n *Node) send(to Member, m Message) {
+	n.out.envelopes = append(n.out.envelopes, Envelope{from: n.self, to: to, message: m})
+}
+
+func (n *Node) setHard(term uint64, vote ID) {
+	if n.hard.term == term && n.hard.vote == vote {
+		return
+	}
+	n.hard = HardState{term: term, vote: vote}
+	hard := n.hard
+	n.out.hard = &hard
+}
+
+func (n *Node) resetElection(now time.Time) {
+	extra := time.Duration(n.pick(int(electionTimeout/time.Millisecond))) * time.Millisecond
+	n.electionAt = now.Add(electionTimeout + extra)
+}
--- /dev/null
+++ b/core/process/target/target.go
@@ -0,0 +1,244 @@
+package target
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/leaf"
+	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+)
+
+const (
+	// loadHalfLife is the age at which a report has lost half of its weight.
+	loadHalfLife = 500 * time.Millisecond
+	// suspectAfter is the number of sub-requests in a row without a response.
+	suspectAfter = 2
+	// otherCentreCost is what a leaf of another data centre is worse, in slots.
+	otherCentreCost = 0.34
+	// latencyJump is how many times slower than usual a response must be to
+	// count towards a cold turn, and jumpsInRow how many of them in a row.
+	latencyJump = 8
+	jumpsInRow  = 4
+	// latencyWeight is the weight of a new response in the moving average.
+	latencyWeight = 0.1
+	// shedsInRow is the number of sheds in a row that make a warm target cold.
+	shedsInRow = 3
+)
+
+// Target is what this VM knows of one leaf. The lock of a target is taken
+// after that of its table, never before.
+type Target struct {
+	leaf    configuration.Leaf
+	service string
+	pool    *leaf.Pool
+	local   bool
+	table   *Table
+
+	mu        sync.Mutex
+	state     string
+	inService bool
+	startID   string
+	leftID    string
+	inFlight  int
+	slots     int
+	coldShare float64
+	warmUp    time.Duration
+	saysWarm  bool
+	bornAt    time.Time
+	doubtedAt time.Time
+	load      float64
+	loadAt    time.Time
+	snapshots []string
+	ramp      ramp
+	silent    int
+	suspect   bool
+	sheds     int
+	jumps     int
+	average   time.Duration
+	changedAt time.Time
+}
+
+// Name returns the name of the leaf.
+func (t *Target) Name() string { return t.leaf.Name() }
+
+// DataCentre returns the data centre of the leaf.
+func (t *Target) DataCentre() string { return t.leaf.DataCentre() }
+
+// Pool returns the connections to the leaf.
+func (t *Target) Pool() *leaf.Pool { return t.pool }
+
+// State returns the state of the target.
+func (t *Target) State() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state
+}
+
+// StartID returns the start id last seen.
+func (t *Target) StartID() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.startID
+}
+
+// Suspect reports whether the target has stopped answering.
+func (t *Target) Suspect() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspect
+}
+
+// Holdings returns the snapshots that the leaf last said it holds, none while
+// the target may not receive queries.
+func (t *Target) Holdings() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.usable() {
+		return nil
+	}
+	return t.snapshots
+}
+
+// Service returns the name of the service that the leaf belongs to.
+func (t *Target) Service() string { return t.service }
+
+// usable reports whether the target may receive queries at all. The caller
+// holds the lock.
+func (t *Target) usable() bool {
+	return t.inService && !t.suspect && (t.state == Cold || t.state == Warming || t.state == Warm)
+}
+
+// holds reports whether the leaf said that it holds the snapshot. A leaf that
+// has said nothing may hold it.
+func (t *Target) holds(snapshot string) bool {
+	if snapshot == "" || len(t.snapshots) == 0 {
+		return true
+	}
+	for _, held := range t.snapshots {
+		if held == snapshot {
+			return true
+		}
+	}
+	return false
+}
+
+// score is how busy the target is, in slots: lower is better.
+func (t *Target) score(now time.Time) float64 {
+	age := now.Sub(t.loadAt)
+	weight := float64(loadHalfLife) / float64(loadHalfLife+max(age, 0))
+	// What this VM has in flight is in the leaf's report already.
+	others := max(0, t.load-float64(t.inFlight)) * weight
+	score := (float64(t.inFlight) + others) / float64(t.slots)
+	if !t.local {
+		score += otherCentreCost
+	}
+	if t.sheds > 0 {
+		score += float64(t.sheds)
+	}
+	return score
+}
+
+// Observe takes in what a leaf says of itself, in a response or by a probe.
+func (t *Target) Observe(report leaf.Report, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(report, now)
+}
+
+func (t *Target) observe(report leaf.Report, now time.Time) {
+	if report.StartID() != "" && report.StartID() != t.startID {
+		t.began(report.StartID(), now)
+	}
+	if report.Snapshots() != nil {
+		t.snapshots = report.Snapshots()
+	}
+	if load, ok := report.Load(); ok {
+		t.load = load
+		t.loadAt = now
+	}
+	switch report.State() {
+	case leaf.SaysLeaving:
+		t.leave(t.startID, now)
+	case leaf.SaysCold:
+		t.saysWarm = false
+		if t.state == Warm {
+			t.fall(now)
+		}
+	case leaf.SaysWarm:
+		// What requests showed goes before what the leaf says.
+		t.saysWarm = t.doubtedAt.IsZero() || now.Sub(t.doubtedAt) >= t.warmUp
+	case leaf.SaysNothing:
+	}
+}
+
+// began starts a new life of the leaf under a new start id. A late report of
+// the life that has left does not bring it back.
+func (t *Target) began(startID string, now time.Time) {
+	if startID == t.leftID {
+		return
+	}
+	t.startID = startID
+	t.saysWarm = false
+	t.doubtedAt = time.Time{}
+	t.move(eventRestart, now)
+	t.bornAt = now
+	t.ramp = newRamp(t.coldShare, now)
+	t.sheds = 0
+	t.jumps = 0
+	t.average = 0
+}
+
+// Leave marks the life of the leaf under the start id as leaving.
+func (t *Target) Leave(startID string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leave(startID, now)
+}
+
+func (t *Target) leave(startID string, now time.Time) {
+	if startID != "" && t.startID != "" && startID != t.startID {
+		return
+	}
+	if t.state != Leaving {
+		t.leftID = t.startID
+	}
+	t.move(eventLeave, now)
+}
+
+// Warmed takes in a peer's word that the life under the start id is warm.
+func (t *Target) Warmed(startID string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if startID == "" || (t.startID != "" && t.startID != startID) || t.state == Leaving {
+		return
+	}
+	t.startID = startID
+	t.move(eventProven, now)
+}
+
+func (t *Target) fall(now time.Time) {
+	t.move(eventFall, now)
+	t.bornAt = now
+	t.doubtedAt = now
+	t.saysWarm = false
+	t.ramp = newRamp(t.coldShare, now)
+	t.sheds = 0
+	t.jumps = 0
+	t.average = 0
+}
+
+// mayRamp reports whether the allowance may grow: the leaf says that it is
+// warm, or it says nothing and has had the declared time to warm up.
+func (t *Target) mayRamp(now time.Time) bool {
+	return t.saysWarm || now.Sub(t.bornAt) >= t.warmUp
+}
+
+func (t *Target) move(event string, now time.Time) {
+	next := t.table.after(t.state, event)
+	if next == t.state {
+		return
+	}
+	t.state = next
+	t.changedAt = now
+	t.table.changed(t, next)
+}
--- /dev/null
+++ b/core/request/hedge/latency.go
@@ -0,0 +1,59 @@
+package hedge
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// window is the number of latest responses that a quantile looks at.
+	window = 256
+	// refresh is the number of responses after which it is worked out again.
+	refresh = 16
+	// quantile is the part of responses that come before a hedge is due.
+	quantile = 0.95
+	// fewSamples is the number of responses below which nothing is known.
+	fewSamples = 20
+	// firstDelay is the delay while nothing is known.
+	firstDelay = 50 * time.Millisecond
+	// minDelay keeps the noise of a fast service from causing hedges.
+	minDelay = 2 * time.Millisecond
+)
+
+// Latency is the recent latency of one service. It is safe for concurrent
+// use; its lock is taken alone.
+type Latency struct {
+	mu     sync.Mutex
+	ring   [window]time.Duration
+	count  int
+	sorted []time.Duration
+	delay  time.Duration
+}
+
+// NewLatency returns a latency of which nothing is known yet.
+func NewLatency() *Latency {
+	return &Latency{sorted: make([]time.Duration, 0, window), delay: firstDelay}
+}
+
+// Add counts the time that a response took.
+func (l *Latency) Add(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ring[l.count%window] = took
+	l.count++
+	if l.count < fewSamples || l.count%refresh != 0 {
+		return
+	}
+	n := min(l.count, window)
+	l.sorted = append(l.sorted[:0], l.ring[:n]...)
+	slices.Sort(l.sorted)
+	l.delay = max(minDelay, l.sorted[int(quantile*float64(n-1))])
+}
+
+// Delay returns the time after which a sub-request without a response is late.
+func (l *Latency) Delay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay
+}
--- /dev/null
+++ b/core/request/query/codec.go
@@ -0,0 +1,191 @@
+package query
+
+import (
+	"bytes"
+	"io"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+const (
+	// MaxRequestBytes bounds the body of a caller's request.
+	MaxRequestBytes = 256 << 10
+	// MaxDeadline bounds the time that a caller may allow.
+	MaxDeadline = 10 * time.Minute
+	// maxIDBytes bounds a request id.
+	maxIDBytes = 128
+)
+
+// Decode reads the body of a caller's request for the named query. Keys:
+// parameters (object), deadline-ms (whole number), request-id (string).
+func Decode(name string, body io.Reader) (Request, error) {
+	text, err := io.ReadAll(io.LimitReader(body, MaxRequestBytes+1))
+	if err != nil {
+		return Request{name: name}, result.Wrap(err, result.BadRequest, "reading the body")
+	}
+	if len(text) > MaxRequestBytes {
+		return Request{name: name}, result.New(result.BadRequest, "the body has more than %d bytes", MaxRequestBytes)
+	}
+	request := Request{name: name, parameters: []byte("{}")}
+	if len(bytes.TrimSpace(text)) == 0 {
+		return request, nil
+	}
+	dec := jsontext.NewDecoder(bytes.NewReader(text))
+	if dec.PeekKind() != '{' {
+		return request, result.New(result.BadRequest, "the body must be a JSON object")
+	}
+	if _, err := dec.ReadToken(); err != nil {
+		return request, result.Wrap(err, result.BadRequest, "reading the body")
+	}
+	for dec.PeekKind() == '"' {
+		if err := request.decodeMember(dec); err != nil {
+			return request, err
+		}
+	}
+	if _, err := dec.ReadToken(); err != nil {
+		return request, result.Wrap(err, result.BadRequest, "reading the body")
+	}
+	if _, err := dec.ReadToken(); err != io.EOF {
+		return request, result.New(result.BadRequest, "something follows the JSON object")
+	}
+	return request, nil
+}
+
+func (r *Request) decodeMember(dec *jsontext.Decoder) error {
+	key, err := dec.ReadToken()
+	if err != nil {
+		return result.Wrap(err, result.BadRequest, "reading a key")
+	}
+	name := key.String()
+	value, err := dec.ReadValue()
+	if err != nil {
+		return result.Wrap(err, result.BadRequest, "reading the value of %s", name)
+	}
+	switch name {
+	case "parameters":
+		if value.Kind() != '{' {
+			return result.New(result.BadRequest, "parameters must be an object")
+		}
+		r.parameters = value.Clone()
+	case "deadline-ms":
+		return r.decodeDeadline(value)
+	case "request-id":
+		return r.decodeID(value)
+	default:
+		return result.New(result.BadRequest, "the key %q is not known; use parameters, deadline-ms, request-id", name)
+	}
+	return nil
+}
+
+func (r *Request) decodeDeadline(value jsontext.Value) error {
+	if value.Kind() != '0' {
+		return result.New(result.BadRequest, "deadline-ms must be a whole number")
+	}
+	token, err := jsontext.NewDecoder(bytes.NewReader(value)).ReadToken()
+	if err != nil {
+		return result.Wrap(err, result.BadRequest, "reading deadline-ms")
+	}
+	millis, err := token.Float()
+	if err != nil || millis < 1 || millis > float64(MaxDeadline.Milliseconds()) || millis != float64(int64(millis)) {
+		return result.New(result.DeadlineTooShort, "deadline-ms must be a whole number from 1 to %d", MaxDeadline.Milliseconds())
+	}
+	r.deadline = time.Duration(millis) * time.Millisecond
+	return nil
+}
+
+func (r *Request) decodeID(value jsontext.Value) error {
+	if value.Kind() != '"' {
+		return result.New(result.BadRequest, "request-id must be a string")
+	}
+	token, err := jsontext.NewDecoder(bytes.NewReader(value)).ReadToken()
+	if err != nil {
+		return result.Wrap(err, result.BadRequest, "reading request-id")
+	}
+	r.id = token.String()
+	if r.id == "" || len(r.id) > maxIDBytes {
+		return result.New(result.BadRequest, "request-id must have 1 to %d bytes", maxIDBytes)
+	}
+	return nil
+}
+
+// Encode writes the JSON form of the answer.
+func (a Answer) Encode(w io.Writer) error {
+	enc := jsontext.NewEncoder(w)
+	e := &encoder{enc: enc}
+	e.token(jsontext.BeginObject)
+	e.member("result-code", jsontext.Int(int64(a.code)))
+	e.member("result", jsontext.String(a.code.String()))
+	e.member("execution", jsontext.String(a.code.Execution().String()))
+	e.text("message", a.message)
+	e.text("request-id", a.id)
+	e.text("query", a.name)
+	e.text("vm", a.vm)
+	if a.version > 0 {
+		e.member("configuration-version", jsontext.Uint(a.version))
+	}
+	e.text("snapshot", a.snapshot)
+	if a.coverage.Asked() > 0 {
+		e.coverage(a)
+	}
+	e.token(jsontext.EndObject)
+	return e.err
+}
+
+// encoder remembers the first error, so that a form is written without a check
+// after each token.
+type encoder struct {
+	enc *jsontext.Encoder
+	err error
+}
+
+func (e *encoder) token(t jsontext.Token) {
+	if e.err == nil {
+		e.err = e.enc.WriteToken(t)
+	}
+}
+
+func (e *encoder) value(v jsontext.Value) {
+	if e.err == nil {
+		e.err = e.enc.WriteValue(v)
+	}
+}
+
+func (e *encoder) member(key string, t jsontext.Token) {
+	e.token(jsontext.String(key))
+	e.token(t)
+}
+
+// text writes a member unless it is empty.
+func (e *encoder) text(key, value string) {
+	if value != "" {
+		e.member(key, jsontext.String(value))
+	}
+}
+
+func (e *encoder) coverage(a Answer) {
+	e.member("complete", jsontext.Bool(a.coverage.Complete()))
+	e.member("services-asked", jsontext.Int(int64(a.coverage.Asked())))
+	e.member("services-answered", jsontext.Int(int64(a.coverage.Answered())))
+	e.token(jsontext.String("services-missing"))
+	e.token(jsontext.BeginArray)
+	for _, m := range a.coverage.Missing() {
+		e.token(jsontext.BeginObject)
+		e.member("service", jsontext.String(m.Service()))
+		e.member("reason", jsontext.String(m.Reason().String()))
+		e.token(jsontext.EndObject)
+	}
+	e.token(jsontext.EndArray)
+	e.token(jsontext.String("results"))
+	e.token(jsontext.BeginArray)
+	for _, r := range a.results {
+		e.token(jsontext.BeginObject)
+		e.member("service", jsontext.String(r.service))
+		e.token(jsontext.String("result"))
+		e.value(r.value)
+		e.token(jsontext.EndObject)
+	}
+	e.token(jsontext.EndArray)
+}
--- a/core/version/configuration/configuration.go
+++ b/core/version/configuration/configuration.go
@@ -93,17 +93,20 @@
 	connections    int
 	coldPerSecond  int
 	connectionCost time.Duration
+	warmUp         time.Duration
 }
 
 // NewLimits returns the limits of one leaf: requests that it runs at the same
 // time, open connections, sub-requests a second while it is cold (over all
-// entry VMs together), and the time that a new connection takes.
-func NewLimits(slots, connections, coldPerSecond int, connectionCost time.Duration) Limits {
+// entry VMs together), the time that a new connection takes, and the time for
+// which a leaf that says nothing of its warmth counts as cold.
+func NewLimits(slots, connections, coldPerSecond int, connectionCost, warmUp time.Duration) Limits {
 	return Limits{
 		slots:          slots,
 		connections:    connections,
 		coldPerSecond:  coldPerSecond,
 		connectionCost: connectionCost,
+		warmUp:         warmUp,
 	}
 }
 
@@ -120,6 +123,10 @@
 // ConnectionCost returns the time that a new connection takes.
 func (l Limits) ConnectionCost() time.Duration { return l.connectionCost }
 
+// WarmUp returns how long a leaf that says nothing of its warmth counts as
+// cold after its start.
+func (l Limits) WarmUp() time.Duration { return l.warmUp }
+
 // Service is one shard of the index, served by leafs that hold the same data.
 type Service struct {
 	name        string
--- a/core/version/configuration/decode.go
+++ b/core/version/configuration/decode.go
@@ -14,6 +14,8 @@
 	maxConnections   = 1_000_000
 	maxColdPerSecond = 10_000_000
 	maxCostMillis    = 60_000
+	maxWarmUpSeconds = 3600
+	defaultWarmUp    = 10
 	minDeadline      = 1
 	maxDeadline      = 600_000
 	maxKeepSeconds   = 30 * 24 * 3600
@@ -71,6 +73,7 @@
 			o.Int("connections-per-leaf", 1, maxConnections),
 			o.Int("cold-capacity-per-second", 1, maxColdPerSecond),
 			o.Milliseconds("connection-cost-ms", 0, maxCostMillis),
+			time.Duration(o.IntOr("warm-up-seconds", 0, maxWarmUpSeconds, defaultWarmUp))*time.Second,
 		)
 		out = append(out, NewService(o.String("name"), limits, o.BoolOr("reports-load", true), decodeLeafs(o)))
 		o.Done()
--- a/core/version/configuration/difference.go
+++ b/core/version/configuration/difference.go
@@ -68,8 +68,8 @@
 		out["data-centre "+dc.name] = fmt.Sprintf("region %s, in service %t", dc.region, dc.inService)
 	}
 	for _, s := range c.services {
-		out["service "+s.name] = fmt.Sprintf("slots %d, connections %d, connection cost %v, cold capacity %d/s, reports load %t",
-			s.limits.slots, s.limits.connections, s.limits.connectionCost, s.limits.coldPerSecond, s.reportsLoad)
+		out["service "+s.name] = fmt.Sprintf("slots %d, connections %d, connection cost %v, cold capacity %d/s, warm-up %v, reports load %t",
+			s.limits.slots, s.limits.connections, s.limits.connectionCost, s.limits.coldPerSecond, s.limits.warmUp, s.reportsLoad)
 		for _, l := range s.leafs {
 			out["leaf "+s.name+"/"+l.name] = fmt.Sprintf("data centre %s, address %s", l.dataCentre, l.address)
 		}
--- a/core/version/configuration/encode.go
+++ b/core/version/configuration/encode.go
@@ -85,6 +85,7 @@
 	p.line(`      "connections-per-leaf": %d,`, s.limits.connections)
 	p.line(`      "connection-cost-ms": %d,`, s.limits.connectionCost/time.Millisecond)
 	p.line(`      "cold-capacity-per-second": %d,`, s.limits.coldPerSecond)
+	p.line(`      "warm-up-seconds": %d,`, s.limits.warmUp/time.Second)
 	p.line(`      "reports-load": %t,`, s.reportsLoad)
 	p.line(`      "leafs": [`)
 	for _, l := range s.leafs {
--- a/declaration/service.go
+++ b/declaration/service.go
@@ -14,8 +14,13 @@
 	connectionCost time.Duration
 	coldPerSecond  int
 	reportsLoad    bool
+	warmUp         time.Duration
 }
 
+// defaultWarmUp is how long a leaf that says nothing of its warmth counts as
+// cold, unless WithWarmUp says otherwise.
+const defaultWarmUp = 10 * time.Second
+
 // NewLimits returns limits for a leaf that runs the given number of requests
 // at the same time and accepts the given number of connections, of which
 // a new one takes connectionCost. The cold capacity is the number of requests
@@ -27,6 +32,7 @@
 		connectionCost: connectionCost,
 		coldPerSecond:  coldPerSecond,
 		reportsLoad:    true,
+		warmUp:         defaultWarmUp,
 	}
 }
 
@@ -36,8 +42,15 @@
 	return l
 }
 
+// WithWarmUp returns the limits of leafs that are cold for the given time
+// after their start, in whole seconds.
+func (l Limits) WithWarmUp(d time.Duration) Limits {
+	l.warmUp = d
+	return l
+}
+
 func (l Limits) limits() configuration.Limits {
-	return configuration.NewLimits(l.slots, l.connections, l.coldPerSecond, l.connectionCost)
+	return configuration.NewLimits(l.slots, l.connections, l.coldPerSecond, l.connectionCost, l.warmUp)
 }
 
 // Service is a declared service; Leaf adds its targets.
--- /dev/null
+++ b/standin/fleet/connection.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// listener limits the open connections of a leaf and makes each new one cost
+// its time.
+type listener struct {
+	net.Listener
+	leaf *Leaf
+	open atomic.Int64
+}
+
+// Accept refuses connections over the limit, as well as all while the leaf is
+// down.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.leaf.mu.Lock()
+		down := l.leaf.behaviour.down
+		l.leaf.mu.Unlock()
+		limit := int64(l.leaf.service.Limits().Connections())
+		if down || l.open.Load() >= limit {
+			if !down {
+				l.leaf.journal.add(Record{at: time.Now(), leaf: l.leaf.name, outcome: ConnectionRefused})
+			}
+			_ = conn.Close()
+			continue
+		}
+		l.open.Add(1)
+		return &limitedConn{Conn: conn, listener: l, ready: time.Now().Add(l.leaf.service.Limits().ConnectionCost())}, nil
+	}
+}
+
+// limitedConn waits for its cost before the first byte is read.
+type limitedConn struct {
+	net.Conn
+	listener *listener
+	ready    time.Time
+	closed   atomic.Bool
+}
+
+// Read reads once the connection's cost is paid.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	if wait := time.Until(c.ready); wait > 0 {
+		time.Sleep(wait)
+	}
+	return c.Conn.Read(p)
+}
+
+// Close frees the place of the connection, once.
+func (c *limitedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.listener.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// connState keeps the addresses of open connections, so that those that exist
+// when the fault is switched on can fall silent while new ones work.
+func (l *Leaf) connState(conn net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	address := conn.RemoteAddr().String()
+	switch state {
+	case http.StateNew:
+		l.conns[address] = true
+		delete(l.silentOld, address)
+	case http.StateClosed, http.StateHijacked:
+		delete(l.conns, address)
+		delete(l.silentOld, address)
+	}
+}
+
+// silenceOld makes every connection that is open now silent for good.
+func (l *Leaf) silenceOld() {
+	for address := range l.conns {
+		l.silentOld[address] = true
+	}
+}
--- /dev/null
+++ b/standin/fleet/control.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// maxListBytes bounds a posted list of VMs.
+const maxListBytes = 1 << 20
+
+// vmList plays the platform's list of VMs: what was posted shows after a lag.
+type vmList struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	shown   string
+	posted  string
+	postAt  time.Time
+	pending bool
+}
+
+func (v *vmList) post(text string, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.show(now)
+	v.posted = text
+	v.postAt = now
+	v.pending = true
+}
+
+func (v *vmList) setLag(lag time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lag = lag
+}
+
+func (v *vmList) text(now time.Time) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.show(now)
+	return v.shown
+}
+
+// show moves what was posted into view once its lag is over.
+func (v *vmList) show(now time.Time) {
+	if v.pending && now.Sub(v.postAt) >= v.lag {
+		v.shown = v.posted
+		v.pending = false
+	}
+}
+
+// Control returns the control page: GET /journal, DELETE /journal,
+// POST /set?leafs=PATTERN&key=KEY&value=VALUE, and the platform's list at
+// GET and POST /vms.
+func (f *Fleet) Control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /journal", func(w http.ResponseWriter, _ *http.Request) {
+		_ = f.journal.write(w)
+	})
+	mux.HandleFunc("DELETE /journal", func(http.ResponseWriter, *http.Request) {
+		f.journal.clear()
+	})
+	mux.HandleFunc("POST /set", f.serveSet)
+	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, f.vms.text(time.Now()))
+	})
+	mux.HandleFunc("POST /vms", f.serveVMs)
+	return mux
+}
+
+func (f *Fleet) serveSet(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	n, err := f.Set(q.Get("leafs"), q.Get("key"), q.Get("value"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if n == 0 {
+		http.Error(w, "no leaf matches", http.StatusNotFound)
+		return
+	}
+	fmt.Fprintf(w, "%d leafs\n", n)
+}
+
+func (f *Fleet) serveVMs(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(io.LimitReader(r.Body, maxListBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if lag, err := time.ParseDuration(r.URL.Query().Get("lag")); err == nil {
+		f.vms.setLag(lag)
+	}
+	f.vms.post(string(text), time.Now())
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"path"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+)
+
+// Fleet is all leafs of a configuration, with a journal and a control page.
+type Fleet struct {
+	journal *Journal
+	leafs   []*Leaf
+	servers []*http.Server
+	vms     *vmList
+}
+
+// New returns the fleet of a configuration; nothing listens yet. The seed
+// decides every draw, warm whether the leafs start warm.
+func New(cfg configuration.Configuration, seed uint64, warm bool) *Fleet {
+	f := &Fleet{journal: &Journal{}, vms: &vmList{}}
+	for _, s := range cfg.Services() {
+		for _, l := range s.Leafs() {
+			f.leafs = append(f.leafs, newLeaf(l.Name(), l.DataCentre(), s, f.journal, seed, warm))
+		}
+	}
+	return f
+}
+
+// Listen opens the port of every leaf and serves it.
+func (f *Fleet) Listen() error {
+	for _, l := range f.leafs {
+		if err := f.listen(l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) listen(l *Leaf) error {
+	var address string
+	for _, declared := range l.service.Leafs() {
+		if declared.Name() == l.name {
+			address = declared.Address()
+		}
+	}
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "leaf %s", l.name)
+	}
+	server := &http.Server{Handler: l, ConnState: l.connState, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, server)
+	go (&service{server: server, socket: &listener{Listener: socket, leaf: l}}).run()
+	return nil
+}
+
+// service is one HTTP server at its socket.
+type service struct {
+	server *http.Server
+	socket net.Listener
+}
+
+func (s *service) run() {
+	_ = s.server.Serve(s.socket)
+}
+
+// Close ends every leaf at once.
+func (f *Fleet) Close() {
+	var wg sync.WaitGroup
+	for _, s := range f.servers {
+		wg.Add(1)
+		go (&closing{server: s, wg: &wg}).run()
+	}
+	wg.Wait()
+}
+
+type closing struct {
+	server *http.Server
+	wg     *sync.WaitGroup
+}
+
+func (c *closing) run() {
+	defer c.wg.Done()
+	_ = c.server.Shutdown(ended())
+	_ = c.server.Close()
+}
+
+// ended returns a context that is over, so that Shutdown does not wait.
+func ended() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// Set switches a behaviour on all leafs whose name or data centre matches the
+// pattern, and returns how many there are.
+func (f *Fleet) Set(pattern, key, value string) (int, error) {
+	n := 0
+	for _, l := range f.leafs {
+		byName, err := path.Match(pattern, l.name)
+		if err != nil {
+			return n, errors.Wrap(err, "pattern")
+		}
+		if !byName && pattern != l.centre {
+			continue
+		}
+		n++
+		if err := l.set(key, value); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// set switches one behaviour. Three keys act at once instead of staying on.
+func (l *Leaf) set(key, value string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch key {
+	case "restart-cold":
+		l.start(true, true)
+		return nil
+	case "turn-cold-untold":
+		l.start(true, false)
+		return nil
+	case "old-connections-silent":
+		l.silenceOld()
+		return nil
+	}
+	return l.behaviour.set(key, value)
+}
--- /dev/null
+++ b/standin/fleet/leaf.go
@@ -0,0 +1,400 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+)
+
+const (
+	// queuePerSlot is how many requests wait for each slot before a leaf sheds.
+	queuePerSlot = 8
+	// maxParameterBytes bounds what a leaf reads.
+	maxParameterBytes = 1 << 20
+	// oversizedBytes is the length of a result that no client should accept.
+	oversizedBytes = 2 << 20
+	// coldWindow is the time over which a cold leaf counts its load.
+	coldWindow = time.Second
+	// collapse is the factor by which an overloaded cold leaf is slower.
+	collapse = 10
+	// requestKey is the parameter in which a caller's own id is found.
+	requestKey = "caller-id"
+)
+
+// Leaf is one played target.
+type Leaf struct {
+	name    string
+	service configuration.Service
+	centre  string
+	journal *Journal
+	slots   chan struct{}
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	behaviour behaviour
+	startID   string
+	starts    int
+	firstAt   time.Time
+	coldSince time.Time
+	warmFor   time.Duration
+	cold      bool
+	recent    []time.Time
+	waiting   int
+	running   int
+	health    []healthPage
+	silentOld map[string]bool
+	conns     map[string]bool
+}
+
+// healthPage is what the health page said from a time on.
+type healthPage struct {
+	at    time.Time
+	state string
+}
+
+func newLeaf(name, centre string, service configuration.Service, journal *Journal, seed uint64, warm bool) *Leaf {
+	l := &Leaf{
+		name:      name,
+		centre:    centre,
+		service:   service,
+		journal:   journal,
+		slots:     make(chan struct{}, service.Limits().Slots()),
+		rng:       rand.New(rand.NewPCG(seed, hash(name))),
+		behaviour: newBehaviour(),
+		warmFor:   service.Limits().WarmUp(),
+		silentOld: make(map[string]bool),
+		conns:     make(map[string]bool),
+	}
+	l.start(!warm, true)
+	return l
+}
+
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
+// start begins a new life: a new start id, unless the turn is untold.
+func (l *Leaf) start(cold, told bool) {
+	if told {
+		l.starts++
+		l.startID = fmt.Sprintf("%s-life-%d", l.name, l.starts)
+	}
+	l.cold = cold
+	l.firstAt = time.Time{}
+	l.recent = nil
+	l.behaviour.leaving = false
+	l.behaviour.untold = !told
+}
+
+// warmed ends coldness once the leaf has been warming up under work for the
+// declared time. The caller holds the lock.
+func (l *Leaf) warmed(now time.Time) {
+	if l.cold && !l.firstAt.IsZero() && now.Sub(l.firstAt) >= l.warmFor {
+		l.cold = false
+	}
+}
+
+// state is the leaf's true word about itself.
+func (l *Leaf) state() string {
+	switch {
+	case l.behaviour.leaving:
+		return "leaving"
+	case l.cold && !l.behaviour.untold:
+		return "cold"
+	}
+	return "warm"
+}
+
+// ServeHTTP plays the target's interface.
+func (l *Leaf) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	silent := l.behaviour.silent || l.silentOld[r.RemoteAddr]
+	l.mu.Unlock()
+	if silent {
+		l.beSilent(r)
+		return
+	}
+	if r.URL.Path == "/health" {
+		l.serveHealth(w)
+		return
+	}
+	l.serveRun(w, r)
+}
+
+// beSilent holds a request without an answer until the client gives up.
+func (l *Leaf) beSilent(r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/run/") {
+		l.record(r, "", "", Silenced, "silent")
+	}
+	// Reading the body lets the server notice that the client has gone.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxParameterBytes))
+	<-r.Context().Done()
+}
+
+// serveHealth says what was true healthLag ago, or the opposite of the truth.
+func (l *Leaf) serveHealth(w http.ResponseWriter) {
+	now := time.Now()
+	l.mu.Lock()
+	l.warmed(now)
+	l.health = append(l.health, healthPage{at: now, state: l.state()})
+	state := l.health[0].state
+	for len(l.health) > 1 && now.Sub(l.health[1].at) >= l.behaviour.healthLag {
+		l.health = l.health[1:]
+		state = l.health[0].state
+	}
+	if l.behaviour.healthLies {
+		state = "warm"
+	}
+	l.reportHeaders(w.Header(), state)
+	l.mu.Unlock()
+	w.WriteHeader(http.StatusOK)
+}
+
+// reportHeaders writes what the leaf says of itself. The caller holds the lock.
+func (l *Leaf) reportHeaders(h http.Header, state string) {
+	h.Set("Start-Id", l.startID)
+	h.Set("State", state)
+	h.Set("Snapshots", strings.Join(l.behaviour.snapshots, ","))
+	if l.service.ReportsLoad() {
+		h.Set("Load", strconv.Itoa(l.waiting+l.running))
+	}
+}
+
+// serveRun plays one sub-request.
+func (l *Leaf) serveRun(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxParameterBytes))
+	if err != nil {
+		return
+	}
+	caller := callerID(body)
+	snapshot, refusal := l.admit(r.Header.Get("Snapshot"))
+	if refusal != "" {
+		l.record(r, caller, snapshot, refusal, "")
+		l.refuse(w, r, refusal)
+		return
+	}
+	took, ran := l.work(r.Context(), deadlineOf(r))
+	if !ran {
+		l.record(r, caller, snapshot, Abandoned, "")
+		l.refuse(w, r, Shed)
+		return
+	}
+	l.answer(w, r, caller, snapshot, took)
+}
+
+// admit decides whether a request runs, and on which snapshot.
+func (l *Leaf) admit(wanted string) (snapshot, refusal string) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.firstAt.IsZero() {
+		l.firstAt = now
+	}
+	l.warmed(now)
+	held := l.behaviour.snapshots
+	snapshot = held[len(held)-1]
+	for _, name := range held {
+		if name == wanted {
+			snapshot = name
+		}
+	}
+	switch {
+	case l.behaviour.leaving:
+		return wanted, RefusedLeaving
+	case wanted != "" && snapshot != wanted && !l.behaviour.ignoresPin:
+		return wanted, RefusedSnapshot
+	case l.behaviour.shedding, l.waiting >= queuePerSlot*cap(l.slots):
+		return wanted, Shed
+	}
+	l.recent = append(l.recent, now)
+	for now.Sub(l.recent[0]) > coldWindow {
+		l.recent = l.recent[1:]
+	}
+	l.waiting++
+	return snapshot, ""
+}
+
+// work waits for a slot and runs. It reports false where the deadline or the
+// client's leaving came before the work began.
+func (l *Leaf) work(ctx context.Context, deadline time.Duration) (time.Duration, bool) {
+	timer := time.NewTimer(deadline)
+	defer timer.Stop()
+	select {
+	case l.slots <- struct{}{}:
+	case <-timer.C:
+		l.count(-1, 0)
+		return 0, false
+	case <-ctx.Done():
+		l.count(-1, 0)
+		return 0, false
+	}
+	l.count(-1, 1)
+	took := l.duration()
+	time.Sleep(took)
+	<-l.slots
+	l.count(0, -1)
+	return took, true
+}
+
+func (l *Leaf) count(waiting, running int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting += waiting
+	l.running += running
+}
+
+// duration draws the time of one request.
+func (l *Leaf) duration() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	took := time.Duration(float64(l.behaviour.serviceTime) * (0.9 + 0.2*l.rng.Float64()))
+	if l.rng.Float64() < l.behaviour.stragglerShare {
+		took *= time.Duration(l.behaviour.stragglerFactor)
+	}
+	if l.cold && len(l.recent) > l.service.Limits().ColdPerSecond() {
+		took *= collapse
+	}
+	return took
+}
+
+func (l *Leaf) refuse(w http.ResponseWriter, r *http.Request, refusal string) {
+	reason := "shed"
+	switch refusal {
+	case RefusedLeaving:
+		reason = "leaving"
+	case RefusedSnapshot:
+		reason = "snapshot"
+	}
+	l.mu.Lock()
+	l.reportHeaders(w.Header(), l.state())
+	l.mu.Unlock()
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Not-Run", reason)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// answer sends the result, spoiled where a fault is drawn.
+func (l *Leaf) answer(w http.ResponseWriter, r *http.Request, caller, snapshot string, took time.Duration) {
+	l.mu.Lock()
+	fault := l.drawFault()
+	l.reportHeaders(w.Header(), l.state())
+	l.mu.Unlock()
+	l.record(r, caller, snapshot, Ran, fault)
+	id := r.Header.Get("Request-Id")
+	body := fmt.Sprintf(`[{"leaf":%s,"caller":%s,"snapshot":%s,"took-us":%d}]`, quote(l.name), quote(caller), quote(snapshot), took.Microseconds())
+	switch fault {
+	case "crossed":
+		id = "another-" + id
+		body = `[{"leaf":"x","caller":"somebody-else"}]`
+	case "malformed":
+		body = body[:len(body)-2] + "}}"
+	case "oversized":
+		body = `["` + strings.Repeat("x", oversizedBytes) + `"]`
+	}
+	h := w.Header()
+	h.Set("Request-Id", id)
+	h.Set("Snapshot", snapshot)
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if fault == "dropped" || fault == "truncated" {
+		l.cut(w, body, fault)
+		return
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+// cut breaks the connection before the result or in the middle of it.
+func (l *Leaf) cut(w http.ResponseWriter, body, fault string) {
+	if fault == "truncated" {
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// drawFault draws at most one fault. The caller holds the lock.
+func (l *Leaf) drawFault() string {
+	x := l.rng.Float64()
+	for _, f := range []struct {
+		name  string
+		share float64
+	}{
+		{"crossed", l.behaviour.crossed},
+		{"truncated", l.behaviour.truncated},
+		{"oversized", l.behaviour.oversized},
+		{"malformed", l.behaviour.malformed},
+		{"dropped", l.behaviour.dropped},
+	} {
+		if x < f.share {
+			return f.name
+		}
+		x -= f.share
+	}
+	return ""
+}
+
+func (l *Leaf) record(r *http.Request, caller, snapshot, outcome, fault string) {
+	l.mu.Lock()
+	cold := l.cold
+	l.mu.Unlock()
+	l.journal.add(Record{
+		at:        time.Now(),
+		leaf:      l.name,
+		operation: r.Header.Get("Operation"),
+		request:   r.Header.Get("Request-Id"),
+		caller:    caller,
+		snapshot:  snapshot,
+		outcome:   outcome,
+		fault:     fault,
+		cold:      cold,
+	})
+}
+
+func deadlineOf(r *http.Request) time.Duration {
+	millis, err := strconv.ParseInt(r.Header.Get("Deadline-Ms"), 10, 64)
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// callerID finds the caller's id among the parameters.
+func callerID(body []byte) string {
+	dec := jsontext.NewDecoder(strings.NewReader(string(body)))
+	if _, err := dec.ReadToken(); err != nil {
+		return ""
+	}
+	for dec.PeekKind() == '"' {
+		key, err := dec.ReadToken()
+		if err != nil {
+			return ""
+		}
+		name := key.String()
+		value, err := dec.ReadValue()
+		if err != nil {
+			return ""
+		}
+		if name == requestKey {
+			text, _ := jsontext.AppendUnquote(nil, value)
+			return string(text)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,72 @@
+// Command standin plays the systems around mulberrydale for demonstrations,
+// tests and measurements: the targets of a configuration and the platform's
+// list of VMs.
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+	"github.com/mulberrydale/mulberrydale/standin/fleet"
+)
+
+func main() {
+	app := kingpin.New("standin", "Plays targets and the platform's list of VMs.")
+	file := app.Flag("configuration", "Configuration whose leafs are played.").Required().String()
+	control := app.Flag("control", "Address of the control page.").Default("127.0.0.1:20900").String()
+	seed := app.Flag("seed", "Seed of every draw.").Default("1").Uint64()
+	warm := app.Flag("warm", "Start the leafs warm.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := run(*file, *control, *seed, *warm); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(file, control string, seed uint64, warm bool) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "configuration")
+	}
+	cfg, err := configuration.Decode(text)
+	if err != nil {
+		return err
+	}
+	f := fleet.New(cfg, seed, warm)
+	if err := f.Listen(); err != nil {
+		return err
+	}
+	defer f.Close()
+	socket, err := net.Listen("tcp", control)
+	if err != nil {
+		return errors.Wrap(err, "control page")
+	}
+	page := &controlPage{
+		server: &http.Server{Handler: f.Control(), ReadHeaderTimeout: 10 * time.Second},
+		socket: socket,
+	}
+	go page.run()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	<-stop
+	return nil
+}
+
+// controlPage serves the control page until the process ends.
+type controlPage struct {
+	server *http.Server
+	socket net.Listener
+}
+
+func (c *controlPage) run() {
+	_ = c.server.Serve(c.socket)
+}
