--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# The one door to build, test and measure. Every target works on a fresh clone.
+
+MODULES := ./core/... ./declaration/... ./mulberryctl/... ./mulberrydale/... ./runner/... ./standin/...
+SEED ?= 1
+SCENARIO ?=
+
+.PHONY: build test lint unit demo bench prove fuzz clean
+
+build:
+	@mkdir -p build
+	go build -o build/ ./mulberrydale ./mulberryctl ./standin ./runner ./declaration/examples/...
+	./build/jakelutupa > build/jakelutupa.json
+	./build/abap > build/abap.json
+
+# Formatter, vet, staticcheck and the unit tests with the race detector.
+test: lint unit
+
+lint:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	go vet $(MODULES)
+	go tool staticcheck $(MODULES)
+
+unit:
+	go test -race $(MODULES)
+
+# The main job from end to end: all of Jakelutupa's leafs, three entry VMs.
+demo: build
+	./build/runner demo build/jakelutupa.json
+
+# Scenarios with bounds; SCENARIO picks one, SEED the draws.
+bench: build
+	./build/runner bench --seed $(SEED) $(if $(SCENARIO),--scenario $(SCENARIO)) build/jakelutupa.json build/abap.json
+
+clean:
+	rm -rf build
--- a/core/connection/leaf/message.go
+++ b/core/connection/leaf/message.go
@@ -78,8 +78,8 @@
 	SaysLeaving
 )
 
-// Outcome is what became of a sub-request: Answered, Refused, Unusable or
-// Failed.
+// Outcome is what became of a sub-request: Answered, Refused, Unusable, Failed
+// or Withheld.
 type Outcome interface{ outcome() }
 
 // Answered is a whole result with the request id echoed.
@@ -119,6 +119,11 @@
 	err    error
 }
 
+// Withheld is a sub-request that this VM did not send, because at the moment
+// of sending its own knowledge was no longer confirmed.
+type Withheld struct{}
+
+func (Withheld) outcome() {}
 func (Answered) outcome() {}
 func (Refused) outcome()  {}
 func (Unusable) outcome() {}
--- /dev/null
+++ b/core/connection/operator/client.go
@@ -0,0 +1,111 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/audit"
+	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+)
+
+// clientTimeout bounds one request to a VM.
+const clientTimeout = 10 * time.Second
+
+// Client speaks to the operators' address of a VM.
+type Client struct {
+	address string
+	client  *http.Client
+}
+
+// NewClient returns a client of the VM at an IP number and port.
+func NewClient(address string) *Client {
+	return &Client{address: address, client: &http.Client{Timeout: clientTimeout}}
+}
+
+// Configuration returns the version in force with its text; the version is
+// 0 where there is none yet.
+func (c *Client) Configuration(ctx context.Context) (uint64, configuration.Configuration, []byte, error) {
+	text, header, err := c.get(ctx, PathConfiguration)
+	if err != nil {
+		return 0, configuration.Configuration{}, nil, err
+	}
+	version, err := strconv.ParseUint(header.Get(HeaderVersion), 10, 64)
+	if err != nil {
+		return 0, configuration.Configuration{}, nil, result.Wrap(err, result.Unreachable, "%s sent no version", c.address)
+	}
+	if version == 0 {
+		return 0, configuration.Configuration{}, nil, nil
+	}
+	cfg, err := configuration.Decode(text)
+	return version, cfg, text, err
+}
+
+// Status returns what the VM says about itself and the others.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	text, _, err := c.get(ctx, PathStatus)
+	if err != nil {
+		return Status{}, err
+	}
+	return DecodeStatus(text)
+}
+
+// Audit returns the audit trail that the VM knows.
+func (c *Client) Audit(ctx context.Context) ([]audit.Record, error) {
+	text, _, err := c.get(ctx, PathAudit)
+	if err != nil {
+		return nil, err
+	}
+	return DecodeAudit(text)
+}
+
+// Send sends a change and returns its outcome. After an error the outcome is
+// not known, and the same change may be sent again.
+func (c *Client) Send(ctx context.Context, change Change) (Outcome, error) {
+	body, err := EncodeChange(change)
+	if err != nil {
+		return Outcome{}, result.Wrap(err, result.Syntax, "the change can't be written as JSON")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+PathChanges, bytes.NewReader(body))
+	if err != nil {
+		return Outcome{}, result.Wrap(err, result.BadAddress, "address")
+	}
+	text, _, err := c.do(req)
+	if err != nil {
+		return Outcome{}, result.Wrap(err, result.ChangeUnknown, "the outcome is not known; send the change again with its id")
+	}
+	return DecodeOutcome(text)
+}
+
+func (c *Client) get(ctx context.Context, path string) ([]byte, http.Header, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, http.NoBody)
+	if err != nil {
+		return nil, nil, result.Wrap(err, result.BadAddress, "address")
+	}
+	return c.do(req)
+}
+
+// do reads a response. A refusal with a numbered code becomes an error, unless
+// it answers a change.
+func (c *Client) do(req *http.Request) ([]byte, http.Header, error) {
+	res, err := c.client.Do(req)
+	if err != nil {
+		return nil, nil, result.Wrap(err, result.Unreachable, "%s", c.address)
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, MaxChangeBytes))
+	if err != nil {
+		return nil, nil, result.Wrap(err, result.Unreachable, "%s", c.address)
+	}
+	if res.StatusCode == http.StatusOK || req.Method == http.MethodPost {
+		return text, res.Header, nil
+	}
+	if refusal, err := DecodeOutcome(text); err == nil {
+		return nil, nil, result.New(refusal.Code(), "%s", refusal.Message())
+	}
+	return nil, nil, result.New(result.Unreachable, "%s answered with status %d", c.address, res.StatusCode)
+}
--- /dev/null
+++ b/core/connection/peer/codec.go
@@ -0,0 +1,122 @@
+package peer
+
+import "github.com/mulberrydale/mulberrydale/core/connection/frame"
+
+// Kinds of messages on the wire.
+const (
+	wireHello = iota + 1
+	wireBeat
+	wireReplicate
+	wirePush
+	wireForward
+	wireReply
+	wireNews
+)
+
+// Encode writes a message as the payload of a frame.
+func Encode(m Message) []byte {
+	enc := frame.NewEncoder()
+	switch m := m.(type) {
+	case Hello:
+		enc.Uint(wireHello)
+		enc.String(m.cluster)
+		enc.String(m.vm)
+		enc.String(m.dataCentre)
+		enc.String(m.startID)
+	case Beat:
+		enc.Uint(wireBeat)
+		encodeBeat(enc, m)
+	case Replicate:
+		enc.Uint(wireReplicate)
+		enc.Bytes(m.payload)
+	case Push:
+		enc.Uint(wirePush)
+		enc.Uint(m.version)
+		enc.Bytes(m.document)
+	case Forward:
+		enc.Uint(wireForward)
+		enc.Uint(m.number)
+		enc.Bytes(m.payload)
+	case Reply:
+		enc.Uint(wireReply)
+		enc.Uint(m.number)
+		enc.Bytes(m.payload)
+	case News:
+		enc.Uint(wireNews)
+		encodeNews(enc, m)
+	}
+	return enc.Payload()
+}
+
+// Decode reads the payload of a frame.
+func Decode(payload []byte) (Message, error) {
+	dec := frame.NewDecoder(payload)
+	var out Message
+	switch dec.Uint() {
+	case wireHello:
+		out = Hello{cluster: dec.String(), vm: dec.String(), dataCentre: dec.String(), startID: dec.String()}
+	case wireBeat:
+		out = decodeBeat(dec)
+	case wireReplicate:
+		out = Replicate{payload: dec.Bytes()}
+	case wirePush:
+		out = Push{version: dec.Uint(), document: dec.Bytes()}
+	case wireForward:
+		out = Forward{number: dec.Uint(), payload: dec.Bytes()}
+	case wireReply:
+		out = Reply{number: dec.Uint(), payload: dec.Bytes()}
+	case wireNews:
+		out = decodeNews(dec)
+	default:
+		dec.Fail("an unknown kind of message")
+	}
+	return out, dec.Err()
+}
+
+func encodeBeat(enc *frame.Encoder, b Beat) {
+	enc.String(b.startID)
+	enc.String(b.dataCentre)
+	enc.Uint(b.version)
+	enc.Bool(b.leaving)
+	enc.Bool(b.control)
+	enc.String(b.replicaID)
+	enc.Bool(b.founded)
+	enc.String(b.leader)
+	enc.Duration(b.quorumAge)
+	enc.Uint(b.quorumVersion)
+	enc.Duration(b.heardAge)
+}
+
+func decodeBeat(dec *frame.Decoder) Beat {
+	return Beat{
+		startID:       dec.String(),
+		dataCentre:    dec.String(),
+		version:       dec.Uint(),
+		leaving:       dec.Bool(),
+		control:       dec.Bool(),
+		replicaID:     dec.String(),
+		founded:       dec.Bool(),
+		leader:        dec.String(),
+		quorumAge:     dec.Duration(),
+		quorumVersion: dec.Uint(),
+		heardAge:      dec.Duration(),
+	}
+}
+
+func encodeNews(enc *frame.Encoder, n News) {
+	enc.Uint(uint64(len(n.items)))
+	for _, i := range n.items {
+		enc.String(i.target)
+		enc.String(i.startID)
+		enc.String(i.state)
+		enc.Duration(i.age)
+	}
+}
+
+func decodeNews(dec *frame.Decoder) News {
+	var items []Item
+	for range dec.Len() {
+		items = append(items, Item{target: dec.String(), startID: dec.String(), state: dec.String(), age: dec.Duration()})
+	}
+	return News{items: items}
+}
--- /dev/null
+++ b/core/connection/peer/mesh.go
@@ -0,0 +1,167 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/frame"
+)
+
+const (
+	// silence is the time without a message after which a connection that
+	// came in is closed. Beats come far more often.
+	silence = 5 * time.Second
+	// helloTimeout bounds the wait for the first message.
+	helloTimeout = 2 * time.Second
+)
+
+// Handler takes in the messages of peers. Calls for one peer come one after
+// another; calls for different peers come at the same time.
+type Handler interface {
+	Receive(from Hello, m Message, now time.Time)
+}
+
+// Mesh is the links of a process with its peers.
+type Mesh struct {
+	hello   Hello
+	links   map[string]*link
+	handler Handler
+	log     *zap.Logger
+
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
+}
+
+// NewMesh returns a mesh with the peers by the names of their VMs.
+func NewMesh(hello Hello, addresses map[string]string, handler Handler, log *zap.Logger) *Mesh {
+	m := &Mesh{
+		hello:   hello,
+		links:   make(map[string]*link),
+		handler: handler,
+		log:     log,
+		open:    make(map[net.Conn]struct{}),
+	}
+	for vm, address := range addresses {
+		if vm != hello.vm {
+			m.links[vm] = newLink(address, hello)
+		}
+	}
+	return m
+}
+
+// Peers returns the names of the VMs that the mesh sends to.
+func (m *Mesh) Peers() []string {
+	out := make([]string, 0, len(m.links))
+	for vm := range m.links {
+		out = append(out, vm)
+	}
+	return out
+}
+
+// Send queues a message for a VM. It reports false where the VM is not known
+// or its queue is full.
+func (m *Mesh) Send(vm string, message Message) bool {
+	l, ok := m.links[vm]
+	return ok && l.send(Encode(message))
+}
+
+// Broadcast queues a message for every peer.
+func (m *Mesh) Broadcast(message Message) {
+	payload := Encode(message)
+	for _, l := range m.links {
+		l.send(payload)
+	}
+}
+
+// Renew redials a VM that says that it does not hear this one.
+func (m *Mesh) Renew(vm string, now time.Time) {
+	if l, ok := m.links[vm]; ok {
+		l.renew(now)
+	}
+}
+
+// Run keeps the links and serves the socket until ctx ends.
+func (m *Mesh) Run(ctx context.Context, socket net.Listener) {
+	for _, l := range m.links {
+		go l.run(ctx)
+	}
+	stop := context.AfterFunc(ctx, func() {
+		_ = socket.Close()
+		m.closeAll()
+	})
+	defer stop()
+	for {
+		conn, err := socket.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			time.Sleep(minRedial)
+			continue
+		}
+		m.mu.Lock()
+		m.open[conn] = struct{}{}
+		m.mu.Unlock()
+		go (&inbound{mesh: m, conn: conn}).run()
+	}
+}
+
+func (m *Mesh) closeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for conn := range m.open {
+		_ = conn.Close()
+	}
+}
+
+// inbound is a connection that a peer dialled.
+type inbound struct {
+	mesh *Mesh
+	conn net.Conn
+}
+
+// run reads messages until the connection breaks, falls silent or carries
+// something that can't be read. That costs this connection and nothing else.
+func (i *inbound) run() {
+	defer i.close()
+	reader := bufio.NewReader(i.conn)
+	first, err := i.read(reader, helloTimeout)
+	if err != nil {
+		return
+	}
+	hello, ok := first.(Hello)
+	if !ok || hello.cluster != i.mesh.hello.cluster {
+		i.mesh.log.Warn("a peer of another cluster was refused", zap.String("vm", hello.vm))
+		return
+	}
+	for {
+		message, err := i.read(reader, silence)
+		if err != nil {
+			return
+		}
+		i.mesh.handler.Receive(hello, message, time.Now())
+	}
+}
+
+func (i *inbound) read(reader *bufio.Reader, timeout time.Duration) (Message, error) {
+	if err := i.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, err
+	}
+	payload, err := frame.Read(reader)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(payload)
+}
+
+func (i *inbound) close() {
+	_ = i.conn.Close()
+	i.mesh.mu.Lock()
+	delete(i.mesh.open, i.conn)
+	i.mesh.mu.Unlock()
+}
--- /dev/null
+++ b/core/connection/peer/message.go
@@ -0,0 +1,204 @@
+// Package peer links the system's own processes: one-way connections of
+// frames, redialled when they fall silent.
+package peer
+
+import "time"
+
+// Message is what processes send each other: Hello, Beat, Replicate, Push,
+// Forward, Reply or News.
+type Message interface{ message() }
+
+// Hello is the first message of each connection.
+type Hello struct {
+	cluster    string
+	vm         string
+	dataCentre string
+	startID    string
+}
+
+// Beat says that a process lives and what it knows.
+type Beat struct {
+	startID    string
+	dataCentre string
+	version    uint64
+	leaving    bool
+	control    bool
+	replicaID  string
+	founded    bool
+	leader     string
+	// quorumAge is how long ago a quorum was confirmed, at quorumVersion.
+	quorumAge     time.Duration
+	quorumVersion uint64
+	// heardAge is how long ago the receiver was last heard.
+	heardAge time.Duration
+}
+
+// Replicate carries a message of the replicated log.
+type Replicate struct{ payload []byte }
+
+// Push carries an accepted configuration.
+type Push struct {
+	version  uint64
+	document []byte
+}
+
+// Forward carries a command to the leader.
+type Forward struct {
+	number  uint64
+	payload []byte
+}
+
+// Reply carries the outcome of a forwarded command, empty where the receiver
+// could not take it.
+type Reply struct {
+	number  uint64
+	payload []byte
+}
+
+// Item is one piece of news about a target.
+type Item struct {
+	target  string
+	startID string
+	state   string
+	age     time.Duration
+}
+
+// News carries what changed about targets.
+type News struct{ items []Item }
+
+func (Hello) message()     {}
+func (Beat) message()      {}
+func (Replicate) message() {}
+func (Push) message()      {}
+func (Forward) message()   {}
+func (Reply) message()     {}
+func (News) message()      {}
+
+// NewHello returns the first message of a connection.
+func NewHello(cluster, vm, dataCentre, startID string) Hello {
+	return Hello{cluster: cluster, vm: vm, dataCentre: dataCentre, startID: startID}
+}
+
+// VM returns the name of the sender.
+func (h Hello) VM() string { return h.vm }
+
+// DataCentre returns the data centre of the sender.
+func (h Hello) DataCentre() string { return h.dataCentre }
+
+// NewBeat returns a beat of a process at a version.
+func NewBeat(startID, dataCentre string, version uint64, leaving bool) Beat {
+	return Beat{startID: startID, dataCentre: dataCentre, version: version, leaving: leaving}
+}
+
+// WithControl returns the beat with what the control role says.
+func (b Beat) WithControl(replicaID string, founded bool, leader string) Beat {
+	b.control = true
+	b.replicaID = replicaID
+	b.founded = founded
+	b.leader = leader
+	return b
+}
+
+// WithQuorum returns the beat with the last confirmation of a quorum.
+func (b Beat) WithQuorum(age time.Duration, version uint64) Beat {
+	b.quorumAge = age
+	b.quorumVersion = version
+	return b
+}
+
+// WithHeard returns the beat with the time since the receiver was last heard.
+func (b Beat) WithHeard(age time.Duration) Beat {
+	b.heardAge = age
+	return b
+}
+
+// StartID returns the id of the sender's present life.
+func (b Beat) StartID() string { return b.startID }
+
+// DataCentre returns the data centre of the sender.
+func (b Beat) DataCentre() string { return b.dataCentre }
+
+// Version returns the version in force at the sender.
+func (b Beat) Version() uint64 { return b.version }
+
+// Leaving reports whether the sender is about to stop.
+func (b Beat) Leaving() bool { return b.leaving }
+
+// Control returns the sender's replica id and whether it has a log; the last
+// result is false where the sender has no control role.
+func (b Beat) Control() (replicaID string, founded, control bool) {
+	return b.replicaID, b.founded, b.control
+}
+
+// Leader returns the leader that the sender knows, empty for none.
+func (b Beat) Leader() string { return b.leader }
+
+// Quorum returns how long ago a quorum was confirmed, and at which version.
+func (b Beat) Quorum() (age time.Duration, version uint64) {
+	return b.quorumAge, b.quorumVersion
+}
+
+// HeardAge returns how long ago the sender last heard the receiver.
+func (b Beat) HeardAge() time.Duration { return b.heardAge }
+
+// NewReplicate returns a message of the replicated log.
+func NewReplicate(payload []byte) Replicate { return Replicate{payload: payload} }
+
+// Payload returns the encoded message of the log.
+func (r Replicate) Payload() []byte { return r.payload }
+
+// NewPush returns an accepted configuration.
+func NewPush(version uint64, document []byte) Push {
+	return Push{version: version, document: document}
+}
+
+// Version returns the number of the configuration.
+func (p Push) Version() uint64 { return p.version }
+
+// Document returns the text of the configuration.
+func (p Push) Document() []byte { return p.document }
+
+// NewForward returns a command for the leader.
+func NewForward(number uint64, payload []byte) Forward {
+	return Forward{number: number, payload: payload}
+}
+
+// Number returns the number that the reply repeats.
+func (f Forward) Number() uint64 { return f.number }
+
+// Payload returns the encoded command.
+func (f Forward) Payload() []byte { return f.payload }
+
+// NewReply returns the outcome of a forwarded command.
+func NewReply(number uint64, payload []byte) Reply {
+	return Reply{number: number, payload: payload}
+}
+
+// Number returns the number of the forwarded command.
+func (r Reply) Number() uint64 { return r.number }
+
+// Payload returns the encoded outcome, empty where there is none.
+func (r Reply) Payload() []byte { return r.payload }
+
+// NewItem returns a piece of news about a target's life.
+func NewItem(target, startID, state string, age time.Duration) Item {
+	return Item{target: target, startID: startID, state: state, age: age}
+}
+
+// Target returns the name of the leaf.
+func (i Item) Target() string { return i.target }
+
+// StartID returns the life of the leaf that the news is about.
+func (i Item) StartID() string { return i.startID }
+
+// State returns the state that the sender saw.
+func (i Item) State() string { return i.state }
+
+// Age returns how old the news was when it was sent.
+func (i Item) Age() time.Duration { return i.age }
+
+// NewNews returns news about targets.
+func NewNews(items []Item) News { return News{items: items} }
+
+// Items returns the pieces of news.
+func (n News) Items() []Item { return n.items }
--- a/core/process/drain/drain.go
+++ b/core/process/drain/drain.go
@@ -19,8 +19,8 @@
 	Stopped
 )
 
-// maxFinishing bounds the wait for requests that run.
-const maxFinishing = 30 * time.Second
+// MaxFinishing bounds the wait for requests that run.
+const MaxFinishing = 30 * time.Second
 
 // State is the state of leaving.
 type State struct {
@@ -55,7 +55,7 @@
 	switch {
 	case since < s.lag:
 		return Announcing
-	case running > 0 && since < s.lag+maxFinishing:
+	case running > 0 && since < s.lag+MaxFinishing:
 		return Finishing
 	}
 	return Stopped
--- a/core/process/entry/counters.go
+++ b/core/process/entry/counters.go
@@ -55,6 +55,7 @@
 		c.unusable.Inc(1)
 	case leaf.Failed:
 		c.failed.Inc(1)
+	case leaf.Withheld:
 	}
 }
 
--- a/core/process/entry/entry.go
+++ b/core/process/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/process/membership"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
 	"github.com/mulberrydale/mulberrydale/core/request/query"
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -28,6 +29,7 @@
 	log      *zap.Logger
 	table    *target.Table
 	claimer  Claimer
+	gate     Gate
 	workers  *workers
 	counters *counters
 	running  atomic.Int64
@@ -40,13 +42,14 @@
 
 // New returns an entry role without a configuration. The start id tells the
 // lives of the process apart, so that ids of sub-requests are never used twice.
-func New(vm, startID string, table *target.Table, claimer Claimer, scope tally.Scope, log *zap.Logger) *Entry {
+func New(vm, startID string, table *target.Table, claimer Claimer, gate Gate, scope tally.Scope, log *zap.Logger) *Entry {
 	return &Entry{
 		vm:        vm,
 		idPrefix:  vm + "-" + startID + "-",
 		log:       log,
 		table:     table,
 		claimer:   claimer,
+		gate:      gate,
 		workers:   newWorkers(),
 		counters:  newCounters(scope),
 		histories: make(map[string]history),
@@ -113,6 +116,8 @@
 // serveReady tells the balancer whether to send requests here.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch {
+	case e.gate.Freshness(e.Version(), time.Now()) == membership.Stale:
+		e.give(w, query.NewRefusal(query.Request{}, unconfirmed()), time.Now())
 	case e.leaving.Load():
 		e.give(w, query.NewRefusal(query.Request{}, result.New(result.Stopping, "this VM is leaving")), time.Now())
 	case e.serving.Load() == nil:
--- a/core/process/entry/once.go
+++ b/core/process/entry/once.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/leaf"
+	"github.com/mulberrydale/mulberrydale/core/process/membership"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
 	"github.com/mulberrydale/mulberrydale/core/request/claim"
 	"github.com/mulberrydale/mulberrydale/core/request/coverage"
@@ -46,9 +47,9 @@
 // answerOnce runs a non-idempotent request: one send, on one connection, after
 // its id was claimed.
 func (e *Entry) answerOnce(ctx context.Context, request query.Request, began time.Time) query.Answer {
-	version := e.serving.Load()
-	if version == nil {
-		return query.NewRefusal(request, result.New(result.NoConfiguration, "this VM has no accepted configuration yet"))
+	version, err := e.freshVersion(ctx, began, request)
+	if err != nil {
+		return query.NewRefusal(request, err)
 	}
 	declared, ok := version.requests[request.Name()]
 	if !ok {
@@ -65,8 +66,10 @@
 		return e.sendOnce(ctx, version, declared, request, began.Add(allowed))
 	}
 	holder := e.nextID()
-	outcome, err := e.claimer.Claim(ctx, request.Name()+"/"+request.ID(), holder, declared.keepIDs)
+	outcome, err := e.claimer.Claim(ctx, claimID(request), holder, declared.keepIDs)
 	if err != nil {
+		// The claim may have been made all the same; it is given back.
+		e.settle(request, holder, result.NoClaim, nil)
 		return query.NewRefusal(request, result.Wrap(err, result.NoClaim, "the request id could not be claimed"))
 	}
 	switch o := outcome.(type) {
@@ -83,10 +86,20 @@
 	if len(answer.Results()) > 0 {
 		body = answer.Results()[0].Value()
 	}
-	go (&settlement{claimer: e.claimer, id: request.Name() + "/" + request.ID(), holder: holder, code: answer.Code(), body: body}).run()
+	e.settle(request, holder, answer.Code(), body)
 	return answer
 }
 
+// settle offers an outcome to the voters without making the caller wait.
+func (e *Entry) settle(request query.Request, holder string, code result.Code, body []byte) {
+	go (&settlement{claimer: e.claimer, id: claimID(request), holder: holder, code: code, body: body}).run()
+}
+
+// claimID keeps the ids of different requests apart.
+func claimID(request query.Request) string {
+	return request.Name() + "/" + request.ID()
+}
+
 // repeated answers with the outcome of the request that ran first.
 func repeated(request query.Request, version *serving, declared *servingRequest, first claim.Settled) query.Answer {
 	results := []query.Result{query.NewResult(declared.service.name, first.Body())}
@@ -103,6 +116,10 @@
 	}
 	sub := leaf.NewRequest(e.nextID(), s.name, request.Name(), "", request.Parameters(), deadline).Once()
 	began := time.Now()
+	if e.gate.Freshness(e.Version(), began) == membership.Stale {
+		t.Settle(leaf.Withheld{}, 0, began)
+		return query.NewRefusal(request, unconfirmed())
+	}
 	outcome := t.Pool().Run(ctx, sub, began)
 	now := time.Now()
 	t.Settle(outcome, now.Sub(began), now)
@@ -120,7 +137,7 @@
 		if o.Silent() {
 			t.Pool().Renew(now, renewInterval)
 		}
-	case leaf.Unusable:
+	case leaf.Unusable, leaf.Withheld:
 	}
 	return query.NewRefusal(request, result.New(result.OutcomeUnknown, "target %s gave no usable answer", t.Name()))
 }
--- a/core/process/entry/query.go
+++ b/core/process/entry/query.go
@@ -32,9 +32,9 @@
 // answerQuery runs a query to its answer. It returns early when the caller's
 // ctx ends, because nobody reads the answer then.
 func (e *Entry) answerQuery(ctx context.Context, request query.Request, began time.Time) query.Answer {
-	version := e.serving.Load()
-	if version == nil {
-		return query.NewRefusal(request, result.New(result.NoConfiguration, "this VM has no accepted configuration yet"))
+	version, err := e.freshVersion(ctx, began, request)
+	if err != nil {
+		return query.NewRefusal(request, err)
 	}
 	declared, ok := version.queries[request.Name()]
 	if !ok {
--- a/core/process/entry/subrequest.go
+++ b/core/process/entry/subrequest.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/leaf"
+	"github.com/mulberrydale/mulberrydale/core/process/membership"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
 	"github.com/mulberrydale/mulberrydale/core/request/fanout"
 )
@@ -54,7 +55,7 @@
 func (s *subRequest) execute() {
 	defer s.flight.release()
 	began := time.Now()
-	outcome := s.target.Pool().Run(s.flight.ctx, s.request, began)
+	outcome := s.send(began)
 	now := time.Now()
 	took := now.Sub(began)
 	s.target.Settle(outcome, took, now)
@@ -66,11 +67,20 @@
 		if o.Silent() {
 			s.target.Pool().Renew(now, renewInterval)
 		}
-	case leaf.Refused, leaf.Unusable:
+	case leaf.Refused, leaf.Unusable, leaf.Withheld:
 	}
 	s.flight.results <- fanout.NewResult(s.attempt, outcome)
 }
 
+// send sends the sub-request unless this VM's knowledge is stale at this very
+// moment, as it is after the process was frozen.
+func (s *subRequest) send(now time.Time) leaf.Outcome {
+	if s.entry.gate.Freshness(s.entry.Version(), now) == membership.Stale {
+		return leaf.Withheld{}
+	}
+	return s.target.Pool().Run(s.flight.ctx, s.request, now)
+}
+
 // nextID returns an id that no other sub-request of this process has.
 func (e *Entry) nextID() string {
 	return e.idPrefix + strconv.FormatUint(e.idCount.Add(1), 36)
--- a/core/process/replica/log.go
+++ b/core/process/replica/log.go
@@ -86,7 +86,7 @@
 
 // cut drops the entries from an index on.
 func (t *tail) cut(index uint64) {
-	t.entries = t.entries[:index-t.snapshot.index-1 : index-t.snapshot.index-1]
+	t.entries = t.entries[: index-t.snapshot.index-1 : index-t.snapshot.index-1]
 }
 
 // compact replaces the entries up to the snapshot's index by the snapshot.
--- a/core/process/replica/replication.go
+++ b/core/process/replica/replication.go
@@ -117,11 +117,16 @@
 	}
 	if term, ok := n.log.term(m.prevIndex); !ok || term != m.prevTerm {
 		hint := min(m.prevIndex-1, n.log.lastIndex())
+		n.leaseAge = farAway
 		n.send(from, AppendReply{term: n.hard.term, index: max(hint, n.log.snapshot.index), sentAt: m.sentAt})
 		return
 	}
 	last := n.merge(m)
 	n.commit = max(n.commit, min(m.commit, last))
+	if n.commit < m.commit {
+		// The leader has committed what this replica has not seen.
+		n.leaseAge = farAway
+	}
 	n.send(from, AppendReply{term: n.hard.term, matched: true, index: last, sentAt: m.sentAt})
 }
 
--- a/core/process/target/outcome.go
+++ b/core/process/target/outcome.go
@@ -23,6 +23,7 @@
 		t.answered()
 	case leaf.Failed:
 		t.failed(o)
+	case leaf.Withheld:
 	}
 }
 
--- a/core/process/target/table.go
+++ b/core/process/target/table.go
@@ -90,6 +90,7 @@
 			local:   l.DataCentre() == t.dataCentre,
 			table:   t,
 			state:   Unknown,
+			heard:   true,
 		}
 	}
 	known.mu.Lock()
--- a/core/process/target/target.go
+++ b/core/process/target/target.go
@@ -37,6 +37,7 @@
 	mu        sync.Mutex
 	state     string
 	inService bool
+	heard     bool
 	startID   string
 	leftID    string
 	inFlight  int
@@ -88,6 +89,13 @@
 	return t.suspect
 }
 
+// News returns the state, the start id and the time since the last change.
+func (t *Target) News(now time.Time) (state, startID string, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state, t.startID, now.Sub(t.changedAt)
+}
+
 // Holdings returns the snapshots that the leaf last said it holds, none while
 // the target may not receive queries.
 func (t *Target) Holdings() []string {
@@ -105,7 +113,7 @@
 // usable reports whether the target may receive queries at all. The caller
 // holds the lock.
 func (t *Target) usable() bool {
-	return t.inService && !t.suspect && (t.state == Cold || t.state == Warming || t.state == Warm)
+	return t.inService && t.heard && !t.suspect && (t.state == Cold || t.state == Warming || t.state == Warm)
 }
 
 // holds reports whether the leaf said that it holds the snapshot. A leaf that
@@ -212,10 +220,31 @@
 	if startID == "" || (t.startID != "" && t.startID != startID) || t.state == Leaving {
 		return
 	}
+	if !t.doubtedAt.IsZero() && now.Sub(t.doubtedAt) < t.warmUp {
+		return
+	}
 	t.startID = startID
 	t.move(eventProven, now)
 }
 
+// Cooled takes in a peer's word that the life under the start id has turned
+// cold without a restart.
+func (t *Target) Cooled(startID string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if startID == t.startID && (t.state == Warm || t.state == Warming) {
+		t.fall(now)
+	}
+}
+
+// SetHeard says whether a VM of the target's data centre is heard. It matters
+// only while this VM is isolated from a quorum.
+func (t *Target) SetHeard(heard bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard = heard
+}
+
 func (t *Target) fall(now time.Time) {
 	t.move(eventFall, now)
 	t.bornAt = now
@@ -240,5 +269,8 @@
 	}
 	t.state = next
 	t.changedAt = now
-	t.table.changed(t, next)
+	switch event {
+	case eventFall, eventLeave, eventProven:
+		t.table.changed(t, next)
+	}
 }
--- a/core/request/fanout/state.go
+++ b/core/request/fanout/state.go
@@ -82,6 +82,11 @@
 		s.open--
 		return nil
 	}
+	if _, withheld := result.outcome.(leaf.Withheld); withheld {
+		// Nothing was sent; ask again once this VM may send.
+		p.askAt = now.Add(neverRetry)
+		return nil
+	}
 	p.reason = reasonOf(result.outcome)
 	if p.running > 0 {
 		return nil
--- a/core/result/code.go
+++ b/core/result/code.go
@@ -47,6 +47,7 @@
 	DeadlineTooShort Code = 207
 	TargetRefused    Code = 208
 	NotAllowed       Code = 209
+	Unconfirmed      Code = 210
 
 	OutcomeUnknown Code = 300
 	ClaimedBefore  Code = 301
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -21,6 +21,7 @@
 	{DeadlineTooShort, "deadline-too-short", "the deadline is out of range"},
 	{TargetRefused, "target-refused", "the target itself refused the request before running it"},
 	{NotAllowed, "not-allowed", "the method or address is not served here"},
+	{Unconfirmed, "unconfirmed", "this VM waits for a confirmation of its configuration; send the request to another one"},
 
 	{OutcomeUnknown, "outcome-unknown", "the request left this VM and no answer came back; it may have run"},
 	{ClaimedBefore, "claimed-before", "this request id has run before; the first outcome is repeated"},
--- /dev/null
+++ b/mulberrydale/main.go
@@ -0,0 +1,63 @@
+// Command mulberrydale is the server: every VM of the system runs it.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+	"github.com/mulberrydale/mulberrydale/mulberrydale/settings"
+)
+
+// version is the number of the release; see CHANGELOG.md.
+const version = "0.1.0"
+
+func main() {
+	app := kingpin.New("mulberrydale", "A query tier over many shards.")
+	serve := app.Command("serve", "Serve callers, peers and operators.")
+	serveSettings := serve.Flag("settings", "Settings file of this VM.").Required().String()
+	check := app.Command("check", "Check a configuration file.")
+	checkFile := check.Arg("file", "Configuration file.").Required().String()
+	checkSettings := app.Command("check-settings", "Check a settings file.")
+	checkSettingsFile := checkSettings.Arg("file", "Settings file.").Required().String()
+	showVersion := app.Command("version", "Print the version.")
+
+	var err error
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case serve.FullCommand():
+		err = runServer(*serveSettings)
+	case check.FullCommand():
+		err = checkConfiguration(*checkFile)
+	case checkSettings.FullCommand():
+		_, err = settings.Read(*checkSettingsFile)
+	case showVersion.FullCommand():
+		fmt.Println("mulberrydale", version)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(result.CodeOf(err).ExitStatus())
+	}
+}
+
+// checkConfiguration prints a summary of a file without faults.
+func checkConfiguration(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return result.Wrap(err, result.DocumentMissing, "configuration")
+	}
+	cfg, err := configuration.Decode(text)
+	if err != nil {
+		return err
+	}
+	leafs := 0
+	for _, s := range cfg.Services() {
+		leafs += len(s.Leafs())
+	}
+	fmt.Printf("%d %s: %s: %d data centres, %d services, %d leafs, %d queries, %d non-idempotent requests\n",
+		result.DocumentValid, result.DocumentValid, cfg.Operator(), len(cfg.DataCentres()), len(cfg.Services()),
+		leafs, len(cfg.Queries()), len(cfg.Requests()))
+	return nil
+}
--- /dev/null
+++ b/mulberrydale/serve.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/mulberrydale/mulberrydale/core/process/drain"
+	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/mulberrydale/operators"
+	"github.com/mulberrydale/mulberrydale/mulberrydale/settings"
+	"github.com/mulberrydale/mulberrydale/mulberrydale/vm"
+)
+
+const (
+	// headerTimeout bounds how long a client may take over its header.
+	headerTimeout = 10 * time.Second
+	// callerIdle is how long an idle connection of a caller is kept.
+	callerIdle = 2 * time.Minute
+	// drainPoll is the time between two looks at the phase of leaving.
+	drainPoll = 20 * time.Millisecond
+	// closeTimeout bounds the end of the connections after the last request.
+	closeTimeout = 2 * time.Second
+)
+
+// server is the process with its sockets.
+type server struct {
+	settings  settings.Settings
+	log       *zap.Logger
+	vm        *vm.VM
+	callers   *http.Server
+	operators *http.Server
+}
+
+// runServer serves until a signal asks to stop, and leaves without a cut.
+func runServer(path string) error {
+	s, err := settings.Read(path)
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(s)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	reporter := prometheus.NewReporter(prometheus.Options{OnRegisterError: func(err error) {
+		log.Error("a metric could not be registered", zap.Error(err))
+	}})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "mulberrydale",
+		Tags:                   map[string]string{"vm": s.VM(), "data_centre": s.DataCentre()},
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, time.Second)
+	defer func() { _ = closer.Close() }()
+	host, err := vm.New(s, scope, log)
+	if err != nil {
+		return err
+	}
+	srv := &server{
+		settings:  s,
+		log:       log,
+		vm:        host,
+		callers:   &http.Server{Handler: host.Entry().Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle},
+		operators: &http.Server{Handler: operators.Handler(host, reporter.HTTPHandler()), ReadHeaderTimeout: headerTimeout},
+	}
+	return srv.serve()
+}
+
+func newLogger(s settings.Settings) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(s.LogLevel())
+	cfg.Sampling = nil
+	log, err := cfg.Build()
+	if err != nil {
+		return nil, result.Wrap(err, result.Internal, "log")
+	}
+	return log.With(zap.String("vm", s.VM())), nil
+}
+
+// serve opens the sockets, then runs until a signal or a fault.
+func (s *server) serve() error {
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	sockets, err := s.listen()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 3)
+	go (&httpLoop{server: s.callers, socket: sockets[0], failed: failed}).run()
+	go (&httpLoop{server: s.operators, socket: sockets[1], failed: failed}).run()
+	go (&vmLoop{vm: s.vm, socket: sockets[2], failed: failed}).run(ctx)
+	s.log.Info("serving", zap.String("callers", s.settings.CallersAddress()), zap.String("operators", s.settings.OperatorsAddress()))
+	select {
+	case err := <-failed:
+		return err
+	case <-stop:
+	}
+	s.leave()
+	return nil
+}
+
+func (s *server) listen() ([]net.Listener, error) {
+	var out []net.Listener
+	for _, address := range []string{s.settings.CallersAddress(), s.settings.OperatorsAddress(), s.settings.PeersAddress()} {
+		socket, err := net.Listen("tcp", address)
+		if err != nil {
+			closeAll(out)
+			return nil, result.Wrap(err, result.ListenFailed, "address %s", address)
+		}
+		out = append(out, socket)
+	}
+	return out, nil
+}
+
+func closeAll(list []net.Listener) {
+	for _, c := range list {
+		_ = io.Closer(c).Close()
+	}
+}
+
+// leave serves on until the balancer has noticed, then finishes what runs.
+// Shutdown comes last: it closes idle connections at once, and a request that
+// is just being sent on one would be cut.
+func (s *server) leave() {
+	s.log.Info("leaving")
+	s.vm.Leave()
+	state := drain.New(s.settings.BalancerLag()).Leave(time.Now())
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for now := time.Now(); state.Phase(s.vm.Entry().Running(), now) < drain.Finishing; now = <-ticker.C {
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drain.MaxFinishing)
+	defer cancel()
+	_ = s.callers.Shutdown(ctx)
+	ctx, cancel = context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = s.operators.Shutdown(ctx)
+	s.log.Info("stopped")
+}
+
+// httpLoop serves one socket.
+type httpLoop struct {
+	server *http.Server
+	socket net.Listener
+	failed chan<- error
+}
+
+func (l *httpLoop) run() {
+	if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
+		l.failed <- result.Wrap(err, result.ListenFailed, "serving %s", l.socket.Addr())
+	}
+}
+
+// vmLoop runs the roles.
+type vmLoop struct {
+	vm     *vm.VM
+	socket net.Listener
+	failed chan<- error
+}
+
+func (l *vmLoop) run(ctx context.Context) {
+	if err := l.vm.Run(ctx, l.socket); err != nil {
+		l.failed <- err
+	}
+}
--- /dev/null
+++ b/mulberrydale/vm/host.go
@@ -0,0 +1,45 @@
+package vm
+
+import (
+	"strings"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/operator"
+	"github.com/mulberrydale/mulberrydale/core/process/audit"
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+// Configuration returns the version in force and its text.
+func (v *VM) Configuration() (version uint64, document []byte) {
+	current := v.current()
+	return current.version, current.document
+}
+
+// Audit returns the attempts at changes, on a VM that keeps the log.
+func (v *VM) Audit() ([]audit.Record, error) {
+	if v.control == nil {
+		return nil, result.New(result.NotAllowed, "this VM keeps no log; ask one of %s", strings.Join(v.settings.ControlVMs(), ", "))
+	}
+	return v.control.Audit(), nil
+}
+
+// Status returns what this VM says about itself and knows of the others.
+func (v *VM) Status(now time.Time) operator.Status {
+	var peers []operator.Peer
+	for _, vm := range v.view.VMs() {
+		b := vm.Beat()
+		peers = append(peers, operator.NewPeer(vm.Name(), vm.DataCentre(), b.Version(), vm.Alive(now), b.Leaving()))
+	}
+	targets := make(map[string]int)
+	for _, t := range v.table.Targets() {
+		if t.Suspect() {
+			targets["suspect"]++
+			continue
+		}
+		targets[t.State()]++
+	}
+	version := v.current().version
+	age, _ := v.view.Quorum(now)
+	return operator.NewStatus(v.settings.VM(), v.settings.DataCentre(), version,
+		v.view.Freshness(version, now).String(), age, v.leader(), peers, targets)
+}
--- /dev/null
+++ b/mulberrydale/vm/platform.go
@@ -0,0 +1,40 @@
+package vm
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/platform"
+)
+
+// platformInterval is the time between two looks at the platform's list.
+const platformInterval = time.Second
+
+// platformLoop follows the platform's list of machines.
+type platformLoop struct{ vm *VM }
+
+func (l *platformLoop) run(ctx context.Context) {
+	ticker := time.NewTicker(platformInterval)
+	defer ticker.Stop()
+	for {
+		machines, err := platform.List(ctx, l.vm.settings.PlatformAddress())
+		if err == nil {
+			l.vm.heedPlatform(machines, time.Now())
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// heedPlatform marks targets as leaving that the platform is about to take. The
+// list lags, so it never brings one back; a new start id does.
+func (v *VM) heedPlatform(machines []platform.Machine, now time.Time) {
+	for _, m := range machines {
+		if t := v.table.Find(m.Name()); t != nil && m.Leaving() {
+			t.Leave("", now)
+		}
+	}
+}
--- /dev/null
+++ b/runner/demo.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+	"github.com/mulberrydale/mulberrydale/runner/driver"
+	"github.com/mulberrydale/mulberrydale/runner/installation"
+)
+
+const (
+	// demoVMs is one entry VM for each of three data centres.
+	demoVMs = 3
+	// demoRounds is how often each query is sent in each act.
+	demoRounds = 2
+	// outTime is the time within which a data centre gets no new work.
+	outTime = 3 * time.Second
+	// slack is what a caller allows over the deadline for the way back.
+	slack = 50 * time.Millisecond
+)
+
+// demo is one run of the demonstration.
+type demo struct {
+	in     *installation.Installation
+	caller *driver.Caller
+	table  *tabwriter.Writer
+	sent   int
+	wrong  []string
+}
+
+// runDemo starts an installation, applies the declared configuration, sends
+// each declared query, and takes a data centre out and back.
+func runDemo(ctx context.Context, binaries, file string) error {
+	folder, err := os.MkdirTemp("", "mulberrydale-demo-")
+	if err != nil {
+		return errors.Wrap(err, "folder")
+	}
+	if os.Getenv("MULBERRYDALE_KEEP") == "" {
+		defer os.RemoveAll(folder)
+	}
+	in, err := installation.New(binaries, folder, file, demoVMs, 1, true)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	if err := in.Start(ctx); err != nil {
+		return err
+	}
+	d := &demo{in: in, caller: driver.NewCaller(), table: tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)}
+	if err := d.play(ctx); err != nil {
+		return err
+	}
+	if len(d.wrong) > 0 {
+		return errors.Newf("%d of %d answers were wrong:\n%s", len(d.wrong), d.sent, strings.Join(d.wrong, "\n"))
+	}
+	fmt.Printf("%d answers, none wrong\n", d.sent)
+	return nil
+}
+
+// play runs the acts.
+func (d *demo) play(ctx context.Context) error {
+	vms := d.in.VMs()
+	text, err := d.in.Ctl(ctx, vms[0], "--yes", "--reason", "first configuration", "apply", d.in.File())
+	if err != nil {
+		return err
+	}
+	fmt.Println(lastLine(text))
+	if err := d.in.Ready(ctx); err != nil {
+		return err
+	}
+	time.Sleep(outTime / 2)
+	fmt.Fprintln(d.table, "act\tquery\tvm\tcode\tsnapshot\tcoverage\ttime")
+	d.ask(ctx, "all in", "")
+	centre := d.in.Configuration().DataCentres()[0].Name()
+	if _, err := d.in.Ctl(ctx, vms[1], "--reason", "demonstration", "out", centre); err != nil {
+		return err
+	}
+	d.ask(ctx, centre+" out", centre)
+	if _, err := d.in.Ctl(ctx, vms[2], "--reason", "demonstration", "in", centre); err != nil {
+		return err
+	}
+	d.ask(ctx, centre+" back", "")
+	d.once(ctx)
+	if err := d.table.Flush(); err != nil {
+		return errors.Wrap(err, "table")
+	}
+	for _, v := range vms {
+		if err := d.in.StopVM(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ask sends each declared query to each VM and judges the answers. No result
+// may come from the data centre that is out.
+func (d *demo) ask(ctx context.Context, act, out string) {
+	cfg := d.in.Configuration()
+	for range demoRounds {
+		for _, q := range cfg.Queries() {
+			for _, v := range d.in.VMs() {
+				id := fmt.Sprintf("demo-%d", d.sent)
+				a := d.caller.Send(ctx, driver.NewQuery(v.Callers(), q.Name(), id, q.Deadline()))
+				d.judge(act, q.Name(), out, q.Deadline(), v.Name(), a)
+			}
+		}
+	}
+}
+
+// once sends each non-idempotent request twice with the same id, the second
+// time through another VM.
+func (d *demo) once(ctx context.Context) {
+	vms := d.in.VMs()
+	for _, r := range d.in.Configuration().Requests() {
+		for i, want := range []result.Code{result.Complete, result.ClaimedBefore} {
+			a := d.caller.Send(ctx, driver.NewOnce(vms[i].Callers(), r.Name(), "demo-once", "demo-once", r.Deadline()))
+			d.judge("at most once", r.Name(), "", r.Deadline(), vms[i].Name(), a)
+			if a.Code() != int(want) {
+				d.wrong = append(d.wrong, fmt.Sprintf("%s: code %d instead of %d", r.Name(), a.Code(), want))
+			}
+			// The first outcome is noted at the voters after the answer.
+			time.Sleep(settleTime)
+		}
+	}
+}
+
+// settleTime is the time that the outcome of a request takes to the voters.
+const settleTime = 200 * time.Millisecond
+
+func (d *demo) judge(act, query, out string, deadline time.Duration, vm string, a driver.Answer) {
+	d.sent++
+	asked, answered := a.Coverage()
+	fmt.Fprintf(d.table, "%s\t%s\t%s\t%d\t%s\t%d/%d\t%.1f ms\n", act, query, vm, a.Code(), a.Snapshot(), answered, asked, float64(a.Took().Microseconds())/1000)
+	for _, fault := range faults(d.in.Configuration(), out, deadline, a) {
+		d.wrong = append(d.wrong, fmt.Sprintf("%s %s at %s: %s", act, query, vm, fault))
+	}
+}
+
+// faults returns what is wrong with an answer.
+func faults(cfg configuration.Configuration, out string, deadline time.Duration, a driver.Answer) []string {
+	var list []string
+	if a.Err() != nil {
+		return []string{a.Err().Error()}
+	}
+	code := result.Code(a.Code())
+	if code.Class() != result.ClassAnswered && code != result.ClaimedBefore {
+		list = append(list, fmt.Sprintf("code %d", a.Code()))
+	}
+	asked, answered := a.Coverage()
+	if answered != asked || len(a.Leafs()) != answered {
+		list = append(list, fmt.Sprintf("covers %d of %d services with %d results, missing %v", answered, asked, len(a.Leafs()), a.Missing()))
+	}
+	if a.Took() > deadline+slack {
+		list = append(list, fmt.Sprintf("took %v", a.Took()))
+	}
+	for i, leaf := range a.Leafs() {
+		if out != "" && centreOf(cfg, leaf) == out {
+			list = append(list, fmt.Sprintf("leaf %s is in %s, which is out", leaf, out))
+		}
+		if a.Callers()[i] != a.CallerID() {
+			list = append(list, fmt.Sprintf("a result belongs to %q", a.Callers()[i]))
+		}
+		if a.Snapshot() != "" && a.Taken()[i] != a.Snapshot() {
+			list = append(list, fmt.Sprintf("a result is from %q", a.Taken()[i]))
+		}
+	}
+	return list
+}
+
+func centreOf(cfg configuration.Configuration, leaf string) string {
+	for _, s := range cfg.Services() {
+		for _, l := range s.Leafs() {
+			if l.Name() == leaf {
+				return l.DataCentre()
+			}
+		}
+	}
+	return ""
+}
+
+func lastLine(text string) string {
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	return lines[len(lines)-1]
+}
--- /dev/null
+++ b/runner/driver/driver.go
@@ -0,0 +1,220 @@
+// Package driver plays callers: it sends queries at a steady rate or one by
+// one, and keeps what came back for the judgement.
+package driver
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrydale/mulberrydale/core/version/document"
+)
+
+// maxAnswerBytes bounds an answer.
+const maxAnswerBytes = 64 << 20
+
+// Answer is what a caller got.
+type Answer struct {
+	callerID string
+	vm       string
+	query    string
+	sentAt   time.Time
+	took     time.Duration
+	code     int
+	snapshot string
+	version  int
+	asked    int
+	answered int
+	missing  []string
+	leafs    []string
+	callers  []string
+	taken    []string
+	err      error
+}
+
+// CallerID returns the id that the caller put into the parameters.
+func (a Answer) CallerID() string { return a.callerID }
+
+// VM returns the name of the VM that answered.
+func (a Answer) VM() string { return a.vm }
+
+// SentAt returns when the caller sent the request.
+func (a Answer) SentAt() time.Time { return a.sentAt }
+
+// Took returns the time until the whole answer was read.
+func (a Answer) Took() time.Duration { return a.took }
+
+// Code returns the numbered result code, 0 where no answer came.
+func (a Answer) Code() int { return a.code }
+
+// Snapshot returns the snapshot that the answer names.
+func (a Answer) Snapshot() string { return a.snapshot }
+
+// Coverage returns the numbers of services asked and answered.
+func (a Answer) Coverage() (asked, answered int) { return a.asked, a.answered }
+
+// Missing returns the missing services with their reasons.
+func (a Answer) Missing() []string { return a.missing }
+
+// Leafs returns the leafs whose results are in the answer, by their own word.
+func (a Answer) Leafs() []string { return a.leafs }
+
+// Callers returns the caller ids that the results carry.
+func (a Answer) Callers() []string { return a.callers }
+
+// Taken returns the snapshots that the results carry.
+func (a Answer) Taken() []string { return a.taken }
+
+// Err returns why no answer came.
+func (a Answer) Err() error { return a.err }
+
+// Caller sends requests to VMs.
+type Caller struct {
+	client *http.Client
+}
+
+// NewCaller returns a caller that keeps connections.
+func NewCaller() *Caller {
+	return &Caller{client: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1024,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}}
+}
+
+// Request says what to send.
+type Request struct {
+	address   string
+	kind      string
+	name      string
+	callerID  string
+	requestID string
+	deadline  time.Duration
+}
+
+// NewQuery returns a query to a VM at an address.
+func NewQuery(address, name, callerID string, deadline time.Duration) Request {
+	return Request{address: address, kind: "queries", name: name, callerID: callerID, deadline: deadline}
+}
+
+// NewOnce returns a non-idempotent request with a request id.
+func NewOnce(address, name, callerID, requestID string, deadline time.Duration) Request {
+	return Request{address: address, kind: "requests", name: name, callerID: callerID, requestID: requestID, deadline: deadline}
+}
+
+func (r Request) body() []byte {
+	id := ""
+	if r.requestID != "" {
+		id = fmt.Sprintf(`,"request-id":%q`, r.requestID)
+	}
+	return fmt.Appendf(nil, `{"parameters":{"caller-id":%q},"deadline-ms":%d%s}`, r.callerID, r.deadline.Milliseconds(), id)
+}
+
+// Send sends a request and reads the whole answer.
+func (c *Caller) Send(ctx context.Context, r Request) Answer {
+	a := Answer{callerID: r.callerID, query: r.name, sentAt: time.Now()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s/%s", r.address, r.kind, r.name), bytes.NewReader(r.body()))
+	if err != nil {
+		a.err = errors.Wrap(err, "request")
+		return a
+	}
+	// A request is sent once; a cut is a cut.
+	req.GetBody = nil
+	res, err := c.client.Do(req)
+	if err != nil {
+		a.err = errors.Wrap(err, "sending")
+		return a
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	a.took = time.Since(a.sentAt)
+	if err != nil {
+		a.err = errors.Wrap(err, "reading")
+		return a
+	}
+	a.err = a.read(text)
+	return a
+}
+
+// read maps an answer by hand.
+func (a *Answer) read(text []byte) error {
+	doc, err := document.Parse(text)
+	if err != nil {
+		return err
+	}
+	o := doc.Root()
+	a.code = o.Int("result-code", 100, 999)
+	a.vm = o.StringOr("vm", "")
+	a.snapshot = o.StringOr("snapshot", "")
+	a.version = o.IntOr("configuration-version", 0, 1<<40, 0)
+	if !o.Has("results") {
+		return doc.Err()
+	}
+	a.asked = o.Int("services-asked", 0, 1<<20)
+	a.answered = o.Int("services-answered", 0, 1<<20)
+	for _, m := range o.Objects("services-missing") {
+		a.missing = append(a.missing, m.String("service")+" "+m.String("reason"))
+	}
+	for _, r := range o.Objects("results") {
+		for _, item := range r.Objects("result") {
+			a.leafs = append(a.leafs, item.String("leaf"))
+			a.callers = append(a.callers, item.StringOr("caller", ""))
+			a.taken = append(a.taken, item.StringOr("snapshot", ""))
+		}
+	}
+	return doc.Err()
+}
+
+// Load is a steady stream of requests, sent on time whatever comes back.
+type Load struct {
+	caller  *Caller
+	rate    float64
+	request func(i int) Request
+
+	mu      sync.Mutex
+	answers []Answer
+	wg      sync.WaitGroup
+}
+
+// NewLoad returns a load of a rate a second; the function makes request i.
+func NewLoad(caller *Caller, rate float64, request func(i int) Request) *Load {
+	return &Load{caller: caller, rate: rate, request: request}
+}
+
+// Run sends for a time, then waits for the answers and returns them.
+func (l *Load) Run(ctx context.Context, d time.Duration) []Answer {
+	began := time.Now()
+	for i := 0; ; i++ {
+		due := began.Add(time.Duration(float64(i) / l.rate * float64(time.Second)))
+		if due.Sub(began) >= d || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(time.Until(due))
+		l.wg.Add(1)
+		go (&sending{load: l, request: l.request(i)}).run(ctx)
+	}
+	l.wg.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answers
+}
+
+// sending is one request of a load.
+type sending struct {
+	load    *Load
+	request Request
+}
+
+func (s *sending) run(ctx context.Context) {
+	defer s.load.wg.Done()
+	a := s.load.caller.Send(ctx, s.request)
+	s.load.mu.Lock()
+	defer s.load.mu.Unlock()
+	s.load.answers = append(s.load.answers, a)
+}
--- a/standin/fleet/leaf.go
+++ b/standin/fleet/leaf.go
@@ -45,7 +45,6 @@
 	startID   string
 	starts    int
 	firstAt   time.Time
-	coldSince time.Time
 	warmFor   time.Duration
 	cold      bool
 	recent    []time.Time
