Scenarios with bounds; admission, windows for cold targets, VM-wide hedges

The median overhead was 1.4 ms because the stand-in told the time that it meant to take, not the one it took; p99 with stragglers was 56 ms because the hedge delay came from the 95 % quantile, which at 5 % stragglers is a straggler. Ruled out: a token bucket for cold targets, whose saved token lets nine VMs together exceed the cold capacity; a window of sends replaces it.

--- /dev/null
+++ b/core/connection/leaf/slope_test.go
@@ -0,0 +1,77 @@
+package leaf_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/leaf"
+)
+
+// plainLeaf answers on bare connections, so that a benchmark counts little but
+// the client's own work.
+type plainLeaf struct{ socket net.Listener }
+
+func (p *plainLeaf) run() {
+	for {
+		conn, err := p.socket.Accept()
+		if err != nil {
+			return
+		}
+		go (&plainConn{conn: conn}).run()
+	}
+}
+
+type plainConn struct{ conn net.Conn }
+
+// run answers each request once its last line, the body, was read.
+func (p *plainConn) run() {
+	r := bufio.NewReader(p.conn)
+	head := []byte("HTTP/1.1 200 OK\r\nSnapshot: s1\r\nStart-Id: life-1\r\nState: warm\r\nSnapshots: s1\r\nLoad: 1\r\nContent-Length: 9\r\nRequest-Id: ")
+	for {
+		id := ""
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if strings.HasPrefix(line, "Request-Id: ") {
+				id = line[len("Request-Id: "):]
+			}
+			if line == "\r\n" {
+				break
+			}
+		}
+		if _, err := r.Discard(len(`{"a":1}`)); err != nil {
+			return
+		}
+		if _, err := p.conn.Write(append(append(head[:len(head):len(head)], id...), "\r\n[1, 2, 3]"...)); err != nil {
+			return
+		}
+	}
+}
+
+// BenchmarkSubRequest gives the time and allocations of one sub-request.
+func BenchmarkSubRequest(b *testing.B) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer socket.Close()
+	go (&plainLeaf{socket: socket}).run()
+	pool := leaf.NewPool(socket.Addr().String(), 1)
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	b.ReportAllocs()
+	for b.Loop() {
+		now := time.Now()
+		request := leaf.NewRequest("sub-1", "s", "q", "s1", []byte(`{"a":1}`), now.Add(time.Second))
+		if outcome, ok := pool.Run(ctx, request, now).(leaf.Answered); !ok {
+			b.Fatalf("%#v", outcome)
+		}
+	}
+}
--- a/core/process/entry/directory.go
+++ b/core/process/entry/directory.go
@@ -5,57 +5,98 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/process/target"
+	"github.com/mulberrydale/mulberrydale/core/request/admission"
 	"github.com/mulberrydale/mulberrydale/core/request/fanout"
+	"github.com/mulberrydale/mulberrydale/core/request/hedge"
 )
 
-// budgetWait is how long a sub-request without budget waits before it asks
-// again.
-const budgetWait = 10 * time.Millisecond
+const (
+	// budgetWait is how long a sub-request without budget waits before it asks
+	// again.
+	budgetWait = 10 * time.Millisecond
+	// turnWait is how long a sub-request waits for each round of places in
+	// front of it before it looks again, and maxTurnWait the longest wait.
+	turnWait    = 2 * time.Millisecond
+	maxTurnWait = 20 * time.Millisecond
+)
 
 // directory answers one query's questions from the shared tables.
 type directory struct {
 	services []*service
+	hedges   *hedge.Budget
 	snapshot string
+	deadline time.Time
+	tickets  []*admission.Ticket
+}
+
+func newDirectory(services []*service, hedges *hedge.Budget, snapshot string, deadline time.Time) *directory {
+	return &directory{
+		services: services,
+		hedges:   hedges,
+		snapshot: snapshot,
+		deadline: deadline,
+		tickets:  make([]*admission.Ticket, len(services)),
+	}
 }
 
-// Choose acquires a target, paid for by the budget of the purpose.
+// Choose acquires a target. First requests wait their turn in the queue of the
+// service; others are paid for by the budget of their purpose.
 func (d *directory) Choose(part int, purpose fanout.Purpose, excluded []string, now time.Time) fanout.Choice {
+	if purpose == fanout.First {
+		return d.first(part, excluded, now)
+	}
+	budget := d.hedges
+	if purpose == fanout.Retry {
+		budget = d.services[part].retries
+	}
+	if !budget.Take() {
+		return fanout.NewLater(now.Add(budgetWait))
+	}
+	choice := d.acquire(part, excluded, now)
+	if _, acquired := choice.(fanout.Acquired); !acquired {
+		budget.Give()
+	}
+	return choice
+}
+
+// first acquires a target for a first request when its turn has come.
+func (d *directory) first(part int, excluded []string, now time.Time) fanout.Choice {
 	s := d.services[part]
-	switch purpose {
-	case fanout.Hedge:
-		if !s.budget.TakeHedge() {
-			return fanout.NewLater(now.Add(budgetWait))
-		}
-	case fanout.Retry:
-		if !s.budget.TakeRetry() {
-			return fanout.NewLater(now.Add(budgetWait))
+	if d.tickets[part] == nil && s.queue.Len() > 0 {
+		d.tickets[part] = s.queue.Join(d.deadline)
+	}
+	if t := d.tickets[part]; t != nil {
+		if rounds := s.queue.Rank(t) / len(s.targets); rounds > 0 {
+			return fanout.NewLater(now.Add(min(maxTurnWait, time.Duration(rounds)*turnWait)))
 		}
-	case fanout.First:
 	}
-	choice := translate(target.Choose(s.targets, d.snapshot, excluded, rand.IntN, now))
-	if _, acquired := choice.(fanout.Acquired); acquired {
-		d.spent(s, purpose)
-		return choice
+	choice := d.acquire(part, excluded, now)
+	switch choice.(type) {
+	case fanout.Acquired:
+		d.leave(part)
+		s.queue.Sent(now)
+		s.retries.Earn()
+		d.hedges.Earn()
+	case fanout.Later:
+		if d.tickets[part] == nil {
+			d.tickets[part] = s.queue.Join(d.deadline)
+		}
 	}
-	d.giveBack(s, purpose)
 	return choice
 }
 
-// spent counts a first request, which earns parts of hedges and retries.
-func (d *directory) spent(s *service, purpose fanout.Purpose) {
-	if purpose == fanout.First {
-		s.budget.First()
+// leave gives up the place in a queue.
+func (d *directory) leave(part int) {
+	if t := d.tickets[part]; t != nil {
+		d.services[part].queue.Leave(t)
+		d.tickets[part] = nil
 	}
 }
 
-// giveBack returns what was paid for a target that could not be acquired.
-func (d *directory) giveBack(s *service, purpose fanout.Purpose) {
-	switch purpose {
-	case fanout.Hedge:
-		s.budget.GiveHedge()
-	case fanout.Retry:
-		s.budget.GiveRetry()
-	case fanout.First:
+// leaveAll gives up every place when the query ends.
+func (d *directory) leaveAll() {
+	for part := range d.tickets {
+		d.leave(part)
 	}
 }
 
@@ -64,8 +105,8 @@
 	return d.services[part].latency.Delay()
 }
 
-func translate(choice target.Choice) fanout.Choice {
-	switch c := choice.(type) {
+func (d *directory) acquire(part int, excluded []string, now time.Time) fanout.Choice {
+	switch c := target.Choose(d.services[part].targets, d.snapshot, excluded, rand.IntN, now).(type) {
 	case target.Chosen:
 		return fanout.NewAcquired(c.Target().Name(), c.Target())
 	case target.Wait:
--- a/core/process/entry/entry.go
+++ b/core/process/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/process/membership"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
+	"github.com/mulberrydale/mulberrydale/core/request/hedge"
 	"github.com/mulberrydale/mulberrydale/core/request/query"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/configuration"
@@ -32,14 +33,21 @@
 	gate     Gate
 	workers  *workers
 	counters *counters
+	hedges   *hedge.Budget
 	running  atomic.Int64
 	leaving  atomic.Bool
 	serving  atomic.Pointer[serving]
 
 	mu        sync.Mutex
 	histories map[string]history
+	// firstAt is when the first configuration came into force.
+	firstAt time.Time
 }
 
+// settleFirst is the time between the first configuration of a process and
+// its being ready.
+const settleFirst = time.Second
+
 // New returns an entry role without a configuration. The start id tells the
 // lives of the process apart, so that ids of sub-requests are never used twice.
 func New(vm, startID string, table *target.Table, claimer Claimer, gate Gate, scope tally.Scope, log *zap.Logger) *Entry {
@@ -51,6 +59,7 @@
 		claimer:   claimer,
 		gate:      gate,
 		workers:   newWorkers(),
+		hedges:    hedge.NewHedges(),
 		counters:  newCounters(scope),
 		histories: make(map[string]history),
 	}
@@ -64,6 +73,9 @@
 	if current := e.serving.Load(); current != nil && current.version >= version {
 		return
 	}
+	if e.firstAt.IsZero() {
+		e.firstAt = now
+	}
 	targets := e.table.Apply(cfg, now)
 	e.serving.Store(newServing(version, cfg, targets, e.histories))
 	e.log.Info("configuration in force", zap.Uint64("version", version))
@@ -77,6 +89,14 @@
 	return 0
 }
 
+// settled reports whether the VM has had time to probe its targets and to hear
+// from its peers which of them are warm.
+func (e *Entry) settled(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.firstAt.IsZero() && now.Sub(e.firstAt) >= settleFirst
+}
+
 // Running returns the number of callers' requests that run now.
 func (e *Entry) Running() int { return int(e.running.Load()) }
 
@@ -122,6 +142,8 @@
 		e.give(w, query.NewRefusal(query.Request{}, result.New(result.Stopping, "this VM is leaving")), time.Now())
 	case e.serving.Load() == nil:
 		e.give(w, query.NewRefusal(query.Request{}, result.New(result.NoConfiguration, "this VM has no accepted configuration yet")), time.Now())
+	case !e.settled(time.Now()):
+		e.give(w, query.NewRefusal(query.Request{}, result.New(result.NoTarget, "this VM does not know its targets yet")), time.Now())
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
--- a/core/process/entry/query.go
+++ b/core/process/entry/query.go
@@ -6,6 +6,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/leaf"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
+	"github.com/mulberrydale/mulberrydale/core/request/admission"
 	"github.com/mulberrydale/mulberrydale/core/request/fanout"
 	"github.com/mulberrydale/mulberrydale/core/request/query"
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -44,6 +45,9 @@
 	if allowed == 0 {
 		allowed = declared.deadline
 	}
+	if expected := declared.expectedWait(began); !admission.Admits(expected, allowed) {
+		return query.NewRefusal(request, result.New(result.Overloaded, "the wait would be %d ms of %d ms", expected.Milliseconds(), allowed.Milliseconds()))
+	}
 	run := &queryRun{entry: e, version: version, declared: declared, request: request}
 	deadline := began.Add(allowed)
 	name, _ := declared.chooseSnapshot()
@@ -64,7 +68,7 @@
 
 // plan pins the snapshot and the services for what follows.
 func (r *queryRun) plan(name string, now, deadline time.Time) {
-	r.dir = &directory{services: r.declared.services, snapshot: name}
+	r.dir = newDirectory(r.declared.services, r.entry.hedges, name, deadline)
 	r.state = fanout.New(fanout.NewPlan(r.declared.names, name, now, deadline))
 	r.flight = newFlight(deadline, attemptsRoom*len(r.declared.services))
 }
@@ -72,6 +76,7 @@
 // loop drives the query's decisions until the answer may go out.
 func (r *queryRun) loop(ctx context.Context) {
 	defer r.flight.release()
+	defer r.dir.leaveAll()
 	now := time.Now()
 	r.send(r.state.Begin(now, r.dir))
 	timer := time.NewTimer(r.state.Next().Sub(now))
--- a/core/process/entry/serving.go
+++ b/core/process/entry/serving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/process/target"
+	"github.com/mulberrydale/mulberrydale/core/request/admission"
 	"github.com/mulberrydale/mulberrydale/core/request/hedge"
 	"github.com/mulberrydale/mulberrydale/core/version/configuration"
 	"github.com/mulberrydale/mulberrydale/core/version/snapshot"
@@ -31,19 +32,21 @@
 	service  *service
 }
 
-// service is a declared service under one version. Its budget and latency
-// outlive the version.
+// service is a declared service under one version. What is known of it
+// outlives the version.
 type service struct {
 	name    string
 	targets []*target.Target
-	budget  *hedge.Budget
+	retries *hedge.Budget
 	latency *hedge.Latency
+	queue   *admission.Queue
 }
 
 // history is what is known of a service across versions.
 type history struct {
-	budget  *hedge.Budget
+	retries *hedge.Budget
 	latency *hedge.Latency
+	queue   *admission.Queue
 }
 
 // newServing works out a version. The histories of known services are taken
@@ -53,14 +56,15 @@
 	for _, s := range cfg.Services() {
 		known, ok := histories[s.Name()]
 		if !ok {
-			known = history{budget: hedge.NewBudget(), latency: hedge.NewLatency()}
+			known = history{retries: hedge.NewRetries(), latency: hedge.NewLatency(), queue: admission.NewQueue()}
 			histories[s.Name()] = known
 		}
 		services[s.Name()] = &service{
 			name:    s.Name(),
 			targets: targets[s.Name()],
-			budget:  known.budget,
+			retries: known.retries,
 			latency: known.latency,
+			queue:   known.queue,
 		}
 	}
 	out := &serving{
@@ -85,6 +89,16 @@
 	return out
 }
 
+// expectedWait returns how long a query that begins now would wait in the
+// longest of its queues.
+func (q *servingQuery) expectedWait(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, s := range q.services {
+		longest = max(longest, s.queue.Expected(now))
+	}
+	return longest
+}
+
 // chooseSnapshot returns the snapshot that the most services can serve now,
 // and how many of them can.
 func (q *servingQuery) chooseSnapshot() (name string, servable int) {
--- a/core/process/target/ramp.go
+++ b/core/process/target/ramp.go
@@ -8,20 +8,25 @@
 	rampInterval = time.Second
 	// rampDoublings is how often the allowance doubles before a target is warm.
 	rampDoublings = 5
-	// burstTime bounds what an idle bucket saves up.
-	burstTime = 200 * time.Millisecond
+	// sendWindow is the time in which the allowance may be used once. It is
+	// a little over a second, so that sub-requests that travel at different
+	// speeds are still a second apart where they arrive.
+	sendWindow = 1050 * time.Millisecond
+	// maxProof is a number of successes within one interval that proves the
+	// allowance whatever the rate.
+	maxProof = 50
 )
 
-// ramp is the allowance of a target that is not warm yet: a token bucket whose
-// rate doubles after each interval that proved it.
+// ramp is the allowance of a target that is not warm yet: at most rate
+// sub-requests in any second, and the rate doubles after each interval that
+// proved it.
 //
-// For example, with a share of 3 a second: 3 in the first second, 6 after the
-// first interval with at least 2 successes and no shed, then 12, 24, 48, 96,
+// For example, with a share of 3.3 a second: 3 in any second, 6 after the
+// first interval with at least 2 successes and no shed, then 13, 26, 52, 105,
 // and after the fifth doubling the target is warm.
 type ramp struct {
 	rate      float64
-	tokens    float64
-	filled    time.Time
+	sent      []time.Time
 	since     time.Time
 	successes int
 	sheds     int
@@ -30,24 +35,28 @@
 
 // newRamp starts at the share of the cold capacity, in sub-requests a second.
 func newRamp(share float64, now time.Time) ramp {
-	return ramp{rate: share, tokens: 1, filled: now, since: now}
+	return ramp{rate: share, since: now}
 }
 
-// take spends a token. Where there is none it returns the time at which the
-// next one will be there.
+// take uses the allowance once. Where it is used up it returns the time at
+// which it is there again.
 func (r *ramp) take(now time.Time) (ok bool, at time.Time) {
-	elapsed := now.Sub(r.filled).Seconds()
-	if elapsed > 0 {
-		most := max(1, r.rate*burstTime.Seconds())
-		r.tokens = min(most, r.tokens+elapsed*r.rate)
-		r.filled = now
+	places := max(1, int(r.rate))
+	window := sendWindow
+	if r.rate < 1 {
+		// Less than one a second is one in a longer time.
+		window = time.Duration(float64(sendWindow) / r.rate)
 	}
-	if r.tokens >= 1 {
-		r.tokens--
+	if len(r.sent) < places {
+		r.sent = append(r.sent, now)
 		return true, now
 	}
-	wait := (1 - r.tokens) / r.rate
-	return false, now.Add(time.Duration(wait * float64(time.Second)))
+	r.sent = r.sent[len(r.sent)-places:]
+	if free := r.sent[0].Add(window); free.After(now) {
+		return false, free
+	}
+	r.sent = append(r.sent[1:], now)
+	return true, now
 }
 
 // succeed counts a success and reports whether the target is now warm.
@@ -56,8 +65,8 @@
 	if now.Sub(r.since) < rampInterval {
 		return false
 	}
-	proven := r.sheds == 0 && float64(r.successes) >= r.rate*now.Sub(r.since).Seconds()/2
-	if proven || r.sheds == 0 && r.successes >= maxProof {
+	enough := float64(r.successes) >= r.rate*now.Sub(r.since).Seconds()/2 || r.successes >= maxProof
+	if enough && r.sheds == 0 {
 		r.rate *= 2
 		r.doublings++
 	}
@@ -67,9 +76,5 @@
 	return r.doublings >= rampDoublings
 }
 
-// maxProof is a number of successes within one interval that proves the
-// allowance whatever the rate.
-const maxProof = 50
-
 // shed counts a refusal for load.
 func (r *ramp) shed() { r.sheds++ }
--- a/core/process/target/target_test.go
+++ b/core/process/target/target_test.go
@@ -68,8 +68,7 @@
 	x.Probed(report("life-1", leaf.SaysCold), nil, began)
 	expectState(t, x, Cold)
 	most := drive(x, began, 9*time.Second, 200, func() leaf.Outcome { return answered("life-1", leaf.SaysCold) })
-	// Half of 20 a second, and one token that was saved.
-	assert.Assert(t, most <= 11, "%d in one second", most)
+	assert.Assert(t, most <= 10, "%d in one second", most)
 	expectState(t, x, Cold)
 }
 
@@ -78,7 +77,7 @@
 	x := targets[0]
 	x.Probed(report("life-1", leaf.SaysNothing), nil, began)
 	most := drive(x, began, warmUp-time.Second, 200, func() leaf.Outcome { return answered("life-1", leaf.SaysNothing) })
-	assert.Assert(t, most <= 11, "%d in one second", most)
+	assert.Assert(t, most <= 10, "%d in one second", most)
 	drive(x, began.Add(warmUp), 20*time.Second, 400, func() leaf.Outcome { return answered("life-1", leaf.SaysNothing) })
 	expectState(t, x, Warm)
 }
@@ -139,7 +138,7 @@
 	x.Warmed("life-1", now)
 	expectState(t, x, Cold)
 	most := drive(x, now, 8*time.Second, 200, func() leaf.Outcome { return answered("life-1", leaf.SaysWarm) })
-	assert.Assert(t, most <= 11, "%d in one second", most)
+	assert.Assert(t, most <= 10, "%d in one second", most)
 }
 
 func TestLeavingEndsOnlyWithANewLife(t *testing.T) {
--- /dev/null
+++ b/core/request/admission/queue_test.go
@@ -0,0 +1,62 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrydale/mulberrydale/core/request/admission"
+)
+
+var began = time.Unix(1_000_000, 0)
+
+func TestEarliestDeadlineComesFirst(t *testing.T) {
+	q := admission.NewQueue()
+	late := q.Join(began.Add(3 * time.Second))
+	early := q.Join(began.Add(time.Second))
+	middle := q.Join(began.Add(2 * time.Second))
+	twin := q.Join(began.Add(time.Second))
+	for want, ticket := range []*admission.Ticket{early, twin, middle, late} {
+		assert.Equal(t, q.Rank(ticket), want)
+	}
+	q.Leave(twin)
+	q.Leave(twin)
+	assert.Equal(t, q.Rank(late), 2)
+	assert.Equal(t, q.Len(), 3)
+}
+
+func TestExpectedWait(t *testing.T) {
+	tests := []struct {
+		name    string
+		waiting int
+		sent    int
+		after   time.Duration
+		want    time.Duration
+	}{
+		{"nobody waits", 0, 0, 0, 0},
+		{"a few wait", 3, 1, 0, 0},
+		{"many wait, many leave", 30, 120, 0, 250 * time.Millisecond},
+		{"many wait, one leaves", 10, 1, 0, 10 * time.Second},
+		{"many wait, none leaves any more", 10, 100, 2 * time.Second, 10 * time.Second},
+	}
+	for _, tt := range tests {
+		q := admission.NewQueue()
+		for range tt.waiting {
+			q.Join(began)
+		}
+		for range tt.sent {
+			q.Sent(began)
+		}
+		assert.Equal(t, q.Expected(began.Add(tt.after)), tt.want, tt.name)
+	}
+}
+
+func ExampleAdmits() {
+	fmt.Println(admission.Admits(100*time.Millisecond, 260*time.Millisecond))
+	fmt.Println(admission.Admits(200*time.Millisecond, 260*time.Millisecond))
+	// Output:
+	// true
+	// false
+}
--- a/core/request/fanout/state.go
+++ b/core/request/fanout/state.go
@@ -13,6 +13,9 @@
 	// neverRetry is how long to wait before a service without a usable target
 	// is looked at again; a probe may have found one meanwhile.
 	neverRetry = 10 * time.Millisecond
+	// maxLate is the most late sub-requests of a query that is still hedged. A
+	// query with more would cost the hedges that save several others.
+	maxLate = 3
 )
 
 // State is one query on its way.
@@ -98,12 +101,15 @@
 // no target before.
 func (s *State) Tick(now time.Time, dir Directory) []Send {
 	var sends []Send
+	tooLate := s.late(now) > maxLate
 	for i := range s.parts {
 		p := &s.parts[i]
 		switch {
 		case p.answered:
 		case p.running == 0 && !p.askAt.After(now):
 			sends = s.ask(i, now, dir, sends)
+		case p.running == 1 && !p.hedgeAt.After(now) && tooLate:
+			p.hedgeAt = now.Add(dir.HedgeDelay(i))
 		case p.running == 1 && !p.hedgeAt.After(now):
 			sends = s.hedge(i, now, dir, sends)
 		}
@@ -111,6 +117,18 @@
 	return sends
 }
 
+// late counts the sub-requests that are late or hedged already.
+func (s *State) late(now time.Time) int {
+	n := 0
+	for i := range s.parts {
+		p := &s.parts[i]
+		if !p.answered && (p.running > 1 || p.running == 1 && !p.hedgeAt.After(now)) {
+			n++
+		}
+	}
+	return n
+}
+
 // Done reports whether the answer may go out: all services are there, or the
 // time to return has come.
 func (s *State) Done(now time.Time) bool {
--- a/core/request/hedge/budget.go
+++ b/core/request/hedge/budget.go
@@ -5,68 +5,59 @@
 import "sync"
 
 const (
-	// hedgeShare is the most hedges for each first request.
-	hedgeShare = 0.05
+	// hedgeShare is the most hedges for each first request. With what a quiet
+	// time saves up, a VM stays under 5 % over any 6,000 first requests.
+	hedgeShare = 0.0475
 	// retryShare is the most retries for each first request.
 	retryShare = 0.10
 	// savedHedges and savedRetries bound what a quiet time saves up.
-	savedHedges  = 5
+	savedHedges  = 15
 	savedRetries = 10
 )
 
-// Budget holds the tokens of one service. It is safe for concurrent use; its
-// lock is taken alone.
+// Budget is a number of extra sub-requests, earned by first ones. It is safe
+// for concurrent use; its lock is taken alone.
 type Budget struct {
-	mu      sync.Mutex
-	hedges  float64
-	retries float64
+	share float64
+	most  float64
+
+	mu     sync.Mutex
+	tokens float64
 }
 
-// NewBudget returns a budget with what a quiet time would have saved up.
-func NewBudget() *Budget {
-	return &Budget{hedges: savedHedges, retries: savedRetries}
+// NewHedges returns the budget of hedges of a VM, with what a quiet time would
+// have saved up.
+func NewHedges() *Budget {
+	return &Budget{share: hedgeShare, most: savedHedges, tokens: savedHedges}
 }
 
-// First counts a first request, which earns a part of a hedge and of a retry.
-func (b *Budget) First() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.hedges = min(savedHedges, b.hedges+hedgeShare)
-	b.retries = min(savedRetries, b.retries+retryShare)
+// NewRetries returns the budget of retries of a service, with what a quiet
+// time would have saved up.
+func NewRetries() *Budget {
+	return &Budget{share: retryShare, most: savedRetries, tokens: savedRetries}
 }
 
-// TakeHedge spends a hedge if there is one.
-func (b *Budget) TakeHedge() bool {
+// Earn counts a first request, which earns a part of an extra one.
+func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return take(&b.hedges)
+	b.tokens = min(b.most, b.tokens+b.share)
 }
 
-// TakeRetry spends a retry if there is one.
-func (b *Budget) TakeRetry() bool {
+// Take spends an extra sub-request if there is one.
+func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return take(&b.retries)
-}
-
-func take(tokens *float64) bool {
-	if *tokens < 1 {
+	if b.tokens < 1 {
 		return false
 	}
-	*tokens--
+	b.tokens--
 	return true
 }
 
-// GiveHedge returns a hedge that was taken and not sent.
-func (b *Budget) GiveHedge() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.hedges = min(savedHedges, b.hedges+1)
-}
-
-// GiveRetry returns a retry that was taken and not sent.
-func (b *Budget) GiveRetry() {
+// Give returns what was taken and not sent.
+func (b *Budget) Give() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.retries = min(savedRetries, b.retries+1)
+	b.tokens = min(b.most, b.tokens+1)
 }
--- a/core/request/hedge/hedge_test.go
+++ b/core/request/hedge/hedge_test.go
@@ -11,45 +11,54 @@
 )
 
 func TestBudgetBoundsExtraLoad(t *testing.T) {
-	b := hedge.NewBudget()
-	hedges := 0
-	retries := 0
 	const firsts = 10_000
-	for range firsts {
-		b.First()
-		if b.TakeHedge() {
-			hedges++
-		}
-		if b.TakeRetry() {
-			retries++
+	tests := []struct {
+		name   string
+		budget *hedge.Budget
+		most   int
+	}{
+		{"hedges", hedge.NewHedges(), firsts * 5 / 100},
+		{"retries", hedge.NewRetries(), firsts*10/100 + 10},
+	}
+	for _, tt := range tests {
+		taken := 0
+		for range firsts {
+			tt.budget.Earn()
+			if tt.budget.Take() {
+				taken++
+			}
 		}
+		assert.Assert(t, taken <= tt.most, "%d %s", taken, tt.name)
 	}
-	assert.Assert(t, hedges <= firsts*5/100+5, "%d hedges", hedges)
-	assert.Assert(t, retries <= firsts*10/100+10, "%d retries", retries)
 }
 
 func TestDelayIsTheQuantile(t *testing.T) {
 	l := hedge.NewLatency()
 	for i := range 256 {
 		took := 5 * time.Millisecond
-		if i%10 == 0 {
-			took = 50 * time.Millisecond
+		if i%5 == 0 {
+			took = 40 * time.Millisecond
 		}
 		l.Add(took)
 	}
 	assert.Equal(t, l.Delay(), 50*time.Millisecond)
-	for range 512 {
-		l.Add(5 * time.Millisecond)
+	// One straggler in twenty must not set the delay.
+	for i := range 512 {
+		took := 4 * time.Millisecond
+		if i%20 == 0 {
+			took = 40 * time.Millisecond
+		}
+		l.Add(took)
 	}
 	assert.Equal(t, l.Delay(), 5*time.Millisecond)
 }
 
 func ExampleBudget() {
-	b := hedge.NewBudget()
+	b := hedge.NewHedges()
 	taken := 0
-	for b.TakeHedge() {
+	for b.Take() {
 		taken++
 	}
 	fmt.Println(taken)
-	// Output: 5
+	// Output: 15
 }
--- a/core/request/hedge/latency.go
+++ b/core/request/hedge/latency.go
@@ -11,8 +11,11 @@
 	window = 256
 	// refresh is the number of responses after which it is worked out again.
 	refresh = 16
-	// quantile is the part of responses that come before a hedge is due.
-	quantile = 0.95
+	// quantile is the part of responses that the delay is worked out from. It
+	// is well under 0.95, so that one straggler in twenty does not set it.
+	quantile = 0.90
+	// slack is how much longer than the quantile a response may take.
+	slack = 1.25
 	// fewSamples is the number of responses below which nothing is known.
 	fewSamples = 20
 	// firstDelay is the delay while nothing is known.
@@ -48,7 +51,7 @@
 	n := min(l.count, window)
 	l.sorted = append(l.sorted[:0], l.ring[:n]...)
 	slices.Sort(l.sorted)
-	l.delay = max(minDelay, l.sorted[int(quantile*float64(n-1))])
+	l.delay = max(minDelay, time.Duration(slack*float64(l.sorted[int(quantile*float64(n-1))])))
 }
 
 // Delay returns the time after which a sub-request without a response is late.
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -1,8 +1,5 @@
 package result
 
-// Table returns every code with its name and meaning, in ascending order.
-func Table() []Row { return table }
-
 var table = []Row{
 	{Complete, "complete", "every service that was asked is in the answer"},
 	{Partial, "partial", "some services are missing; the answer names them with reasons"},
@@ -66,3 +63,6 @@
 
 	{Internal, "internal", "a fault of the program; please report it"},
 }
+
+// Table returns every code with its name and meaning, in ascending order.
+func Table() []Row { return table }
--- a/mulberryctl/main.go
+++ b/mulberryctl/main.go
@@ -59,26 +59,17 @@
 	t := &tool{flags: f, client: operator.NewClient(f.address), out: console.New(os.Stdout, f.json)}
 	ctx, cancel := context.WithTimeout(context.Background(), f.timeout+10*time.Second)
 	defer cancel()
-	var err error
-	switch command {
-	case apply.FullCommand():
-		err = t.apply(ctx, *applyFile)
-	case diff.FullCommand():
-		err = t.diff(ctx, *diffFile)
-	case show.FullCommand():
-		err = t.show(ctx)
-	case out.FullCommand():
-		err = t.setCentre(ctx, *outName, false)
-	case in.FullCommand():
-		err = t.setCentre(ctx, *inName, true)
-	case status.FullCommand():
-		err = t.status(ctx)
-	case wait.FullCommand():
-		err = t.wait(ctx, *waitVersion)
-	case audit.FullCommand():
-		err = t.audit(ctx)
+	calls := map[string]func() error{
+		apply.FullCommand():  func() error { return t.apply(ctx, *applyFile) },
+		diff.FullCommand():   func() error { return t.diff(ctx, *diffFile) },
+		show.FullCommand():   func() error { return t.show(ctx) },
+		out.FullCommand():    func() error { return t.setCentre(ctx, *outName, false) },
+		in.FullCommand():     func() error { return t.setCentre(ctx, *inName, true) },
+		status.FullCommand(): func() error { return t.status(ctx) },
+		wait.FullCommand():   func() error { return t.wait(ctx, *waitVersion) },
+		audit.FullCommand():  func() error { return t.audit(ctx) },
 	}
-	if err != nil {
+	if err := calls[command](); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(result.CodeOf(err).ExitStatus())
 	}
--- a/mulberrydale/vm/loops.go
+++ b/mulberrydale/vm/loops.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/entry"
 	"github.com/mulberrydale/mulberrydale/core/process/membership"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
@@ -91,6 +92,7 @@
 		s := v.control.Status()
 		base = base.WithControl(string(s.Member().ID()), s.Founded(), s.Leader())
 		v.view.Confirm(s.QuorumAge(now), s.Version(), now)
+		v.showVoter(s)
 	}
 	age, confirmed := v.view.Quorum(now)
 	base = base.WithQuorum(age, confirmed)
@@ -99,6 +101,17 @@
 	}
 }
 
+// showVoter publishes whether this replica counts in the log.
+func (v *VM) showVoter(s control.Status) {
+	counts := 0.0
+	for _, m := range s.Voters() {
+		if m.ID() == s.Member().ID() && s.Founded() {
+			counts = 1
+		}
+	}
+	v.voter.Update(counts)
+}
+
 // sendNews tells the peers which targets left, turned cold or proved warm.
 func (v *VM) sendNews() {
 	var items []peer.Item
@@ -128,7 +141,10 @@
 	isolated := v.view.Freshness(v.current().version, now) == membership.Isolated
 	heard := v.view.Centres(now)
 	heard[v.settings.DataCentre()] = true
+	dials := int64(0)
 	for _, t := range v.table.Targets() {
 		t.SetHeard(!isolated || heard[t.DataCentre()])
+		dials += t.Pool().Dials()
 	}
+	v.dials.Update(float64(dials))
 }
--- a/mulberrydale/vm/receive.go
+++ b/mulberrydale/vm/receive.go
@@ -94,7 +94,8 @@
 	if b.Version() < current.version && v.relay.mayPush(from.VM(), now) {
 		v.mesh.Send(from.VM(), peer.NewPush(current.version, current.document))
 	}
-	if v.relay.isNew(from.VM(), b.StartID()) {
+	// News about targets is of use once the peer knows them.
+	if b.Version() > 0 && v.relay.isNew(from.VM(), b.StartID()) {
 		v.mesh.Send(from.VM(), v.allNews(now))
 	}
 }
--- a/mulberrydale/vm/vm.go
+++ b/mulberrydale/vm/vm.go
@@ -42,6 +42,8 @@
 	leaving  atomic.Bool
 	relay    *relay
 	calls    *calls
+	dials    tally.Gauge
+	voter    tally.Gauge
 
 	// mu guards accepted. It is taken before the entry's lock.
 	mu       sync.Mutex
@@ -58,6 +60,8 @@
 		table:    target.NewTable(s.DataCentre()),
 		relay:    newRelay(),
 		calls:    newCalls(),
+		dials:    scope.Gauge("leaf_dials"),
+		voter:    scope.Gauge("control_voter"),
 	}
 	hello := peer.NewHello(s.Cluster(), s.VM(), s.DataCentre(), v.startID)
 	v.mesh = peer.NewMesh(hello, s.Peers(), v, log)
--- a/runner/driver/driver.go
+++ b/runner/driver/driver.go
@@ -36,6 +36,7 @@
 	leafs    []string
 	callers  []string
 	taken    []string
+	slowest  time.Duration
 	err      error
 }
 
@@ -72,6 +73,9 @@
 // Taken returns the snapshots that the results carry.
 func (a Answer) Taken() []string { return a.taken }
 
+// Slowest returns the time that the slowest leaf says it took.
+func (a Answer) Slowest() time.Duration { return a.slowest }
+
 // Err returns why no answer came.
 func (a Answer) Err() error { return a.err }
 
@@ -166,6 +170,7 @@
 			a.leafs = append(a.leafs, item.String("leaf"))
 			a.callers = append(a.callers, item.StringOr("caller", ""))
 			a.taken = append(a.taken, item.StringOr("snapshot", ""))
+			a.slowest = max(a.slowest, time.Duration(item.IntOr("took-us", 0, 1<<40, 0))*time.Microsecond)
 		}
 	}
 	return doc.Err()
--- a/runner/installation/installation.go
+++ b/runner/installation/installation.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -18,6 +19,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/operator"
 	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+	"github.com/mulberrydale/mulberrydale/runner/proxy"
 )
 
 const (
@@ -27,9 +29,13 @@
 	firstPort = 19000
 	// controlPort is the control page of the stand-in.
 	controlPort = 20900
-	readyPoll   = 20 * time.Millisecond
-	readyLimit  = 20 * time.Second
-	stopLimit   = 15 * time.Second
+	// firstProxyPort is the first of the ports in front of the VMs' links, and
+	// maxVMs the most VMs of an installation.
+	firstProxyPort = 19300
+	maxVMs         = 16
+	readyPoll      = 20 * time.Millisecond
+	readyLimit     = 20 * time.Second
+	stopLimit      = 15 * time.Second
 	// BalancerLag is the lag that the VMs are told to expect.
 	BalancerLag = 500 * time.Millisecond
 )
@@ -73,6 +79,7 @@
 	standin  *exec.Cmd
 	seed     uint64
 	warm     bool
+	proxies  map[string]*proxy.Proxy
 }
 
 // New prepares an installation of n VMs for a configuration file. Binaries are
@@ -90,6 +97,9 @@
 	for i := range n {
 		in.vms = append(in.vms, in.vm(i))
 	}
+	if err := in.openProxies(); err != nil {
+		return nil, err
+	}
 	for _, v := range in.vms {
 		if err := os.WriteFile(v.settings, []byte(in.settingsText(v)), 0o600); err != nil {
 			return nil, errors.Wrap(err, "settings")
@@ -118,7 +128,7 @@
 	var peers, control []string
 	for i, other := range in.vms {
 		if other != v {
-			peers = append(peers, fmt.Sprintf(`{"vm": %q, "address": %q}`, other.name, other.peers))
+			peers = append(peers, fmt.Sprintf(`{"vm": %q, "address": %q}`, other.name, proxyAddress(in.number(v), i)))
 		}
 		if i < controlVMs {
 			control = append(control, fmt.Sprintf("%q", other.name))
@@ -140,12 +150,57 @@
 		strings.Join(peers, ", "), strings.Join(control, ", "), folder, controlPort, BalancerLag.Milliseconds())
 }
 
+// proxyAddress is where VM number from dials VM number to.
+func proxyAddress(from, to int) string {
+	return fmt.Sprintf("127.0.0.1:%d", firstProxyPort+from*maxVMs+to)
+}
+
+func (in *Installation) number(v *VM) int { return slices.Index(in.vms, v) }
+
+// openProxies puts a proxy into each link between two VMs.
+func (in *Installation) openProxies() error {
+	in.proxies = make(map[string]*proxy.Proxy)
+	for i, from := range in.vms {
+		for j, to := range in.vms {
+			if i == j {
+				continue
+			}
+			p, err := proxy.New(proxyAddress(i, j), to.peers)
+			if err != nil {
+				return err
+			}
+			in.proxies[from.name+">"+to.name] = p
+		}
+	}
+	return nil
+}
+
+// Cut sets what becomes of the messages from one VM to another.
+func (in *Installation) Cut(from, to *VM, mode proxy.Mode) {
+	in.proxies[from.name+">"+to.name].Set(mode)
+}
+
+// Heal ends all cuts.
+func (in *Installation) Heal() {
+	for _, p := range in.proxies {
+		p.Set(proxy.Pass)
+	}
+}
+
+// LoseDisk removes the data folder of a VM that does not run.
+func (in *Installation) LoseDisk(v *VM) error {
+	return errors.Wrapf(os.RemoveAll(v.folder), "VM %s", v.name)
+}
+
 // Configuration returns the declared configuration.
 func (in *Installation) Configuration() configuration.Configuration { return in.cfg }
 
 // VMs returns the entry VMs.
 func (in *Installation) VMs() []*VM { return in.vms }
 
+// Seed returns the seed of every draw.
+func (in *Installation) Seed() uint64 { return in.seed }
+
 // File returns the path of the configuration.
 func (in *Installation) File() string { return in.file }
 
@@ -265,6 +320,9 @@
 			in.KillVM(v)
 		}
 	}
+	for _, p := range in.proxies {
+		p.Close()
+	}
 	if in.standin != nil && in.standin.Process != nil {
 		_ = in.standin.Process.Kill()
 		_ = in.standin.Wait()
--- a/runner/main.go
+++ b/runner/main.go
@@ -18,11 +18,20 @@
 	demo := app.Command("demo", "Show the main job from end to end.")
 	demoFile := demo.Arg("configuration", "Configuration file.").Required().String()
 
+	bench := app.Command("bench", "Measure scenarios against their bounds.")
+	benchFiles := bench.Arg("configurations", "Configuration files, one a deployment.").Required().Strings()
+	only := bench.Flag("scenario", "Run only scenarios whose name starts with one of these, separated by commas.").String()
+	seed := bench.Flag("seed", "Seed of every draw.").Default("1").Uint64()
+	asJSON := bench.Flag("json", "Write the figures to this file as JSON lines too.").String()
+
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	var err error
-	if kingpin.MustParse(app.Parse(os.Args[1:])) == demo.FullCommand() {
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case demo.FullCommand():
 		err = runDemo(ctx, *binaries, *demoFile)
+	case bench.FullCommand():
+		err = runBench(ctx, *binaries, *benchFiles, *only, *seed, *asJSON)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/standin/fleet/answer.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+func (l *Leaf) refuse(w http.ResponseWriter, r *http.Request, refusal string) {
+	reason := "shed"
+	switch refusal {
+	case RefusedLeaving:
+		reason = "leaving"
+	case RefusedSnapshot:
+		reason = "snapshot"
+	}
+	l.mu.Lock()
+	l.reportHeaders(w.Header(), l.state())
+	l.mu.Unlock()
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Not-Run", reason)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// answer sends the result, spoiled where a fault is drawn.
+func (l *Leaf) answer(w http.ResponseWriter, r *http.Request, caller, snapshot string, took time.Duration) {
+	l.mu.Lock()
+	fault := l.drawFault()
+	l.reportHeaders(w.Header(), l.state())
+	l.mu.Unlock()
+	l.record(r, caller, snapshot, Ran, fault)
+	id := r.Header.Get("Request-Id")
+	body := fmt.Sprintf(`[{"leaf":%s,"caller":%s,"snapshot":%s,"took-us":%d}]`, quote(l.name), quote(caller), quote(snapshot), took.Microseconds())
+	switch fault {
+	case "crossed":
+		id = "another-" + id
+		body = `[{"leaf":"x","caller":"somebody-else"}]`
+	case "malformed":
+		body = body[:len(body)-2] + "}}"
+	case "oversized":
+		body = `["` + strings.Repeat("x", oversizedBytes) + `"]`
+	}
+	h := w.Header()
+	h.Set("Request-Id", id)
+	h.Set("Snapshot", snapshot)
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if fault == "dropped" || fault == "truncated" {
+		l.cut(w, body, fault)
+		return
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+// cut breaks the connection before the result or in the middle of it.
+func (l *Leaf) cut(w http.ResponseWriter, body, fault string) {
+	if fault == "truncated" {
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// drawFault draws at most one fault. The caller holds the lock.
+func (l *Leaf) drawFault() string {
+	x := l.rng.Float64()
+	for _, f := range []struct {
+		name  string
+		share float64
+	}{
+		{"crossed", l.behaviour.crossed},
+		{"truncated", l.behaviour.truncated},
+		{"oversized", l.behaviour.oversized},
+		{"malformed", l.behaviour.malformed},
+		{"dropped", l.behaviour.dropped},
+	} {
+		if x < f.share {
+			return f.name
+		}
+		x -= f.share
+	}
+	return ""
+}
+
+func (l *Leaf) record(r *http.Request, caller, snapshot, outcome, fault string) {
+	l.mu.Lock()
+	cold := l.cold
+	l.mu.Unlock()
+	l.journal.add(Record{
+		at:        time.Now(),
+		leaf:      l.name,
+		operation: r.Header.Get("Operation"),
+		request:   r.Header.Get("Request-Id"),
+		caller:    caller,
+		snapshot:  snapshot,
+		outcome:   outcome,
+		fault:     fault,
+		cold:      cold,
+	})
+}
+
+func deadlineOf(r *http.Request) time.Duration {
+	millis, err := strconv.ParseInt(r.Header.Get("Deadline-Ms"), 10, 64)
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// callerID finds the caller's id among the parameters.
+func callerID(body []byte) string {
+	dec := jsontext.NewDecoder(strings.NewReader(string(body)))
+	if _, err := dec.ReadToken(); err != nil {
+		return ""
+	}
+	for dec.PeekKind() == '"' {
+		key, err := dec.ReadToken()
+		if err != nil {
+			return ""
+		}
+		name := key.String()
+		value, err := dec.ReadValue()
+		if err != nil {
+			return ""
+		}
+		if name == requestKey {
+			text, _ := jsontext.AppendUnquote(nil, value)
+			return string(text)
+		}
+	}
+	return ""
+}
--- a/standin/fleet/connection.go
+++ b/standin/fleet/connection.go
@@ -24,7 +24,7 @@
 			return nil, err
 		}
 		l.leaf.mu.Lock()
-		down := l.leaf.behaviour.down
+		down := l.leaf.away(time.Now())
 		l.leaf.mu.Unlock()
 		limit := int64(l.leaf.service.Limits().Connections())
 		if down || l.open.Load() >= limit {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -125,6 +125,7 @@
 	switch key {
 	case "restart-cold":
 		l.start(true, true)
+		l.backAt = time.Now().Add(restartTime)
 		return nil
 	case "turn-cold-untold":
 		l.start(true, false)
--- a/standin/fleet/leaf.go
+++ b/standin/fleet/leaf.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-json-experiment/json/jsontext"
-
 	"github.com/mulberrydale/mulberrydale/core/version/configuration"
 )
 
@@ -25,6 +23,8 @@
 	oversizedBytes = 2 << 20
 	// coldWindow is the time over which a cold leaf counts its load.
 	coldWindow = time.Second
+	// restartTime is how long a restarting leaf takes no connection.
+	restartTime = 300 * time.Millisecond
 	// collapse is the factor by which an overloaded cold leaf is slower.
 	collapse = 10
 	// requestKey is the parameter in which a caller's own id is found.
@@ -45,6 +45,7 @@
 	startID   string
 	starts    int
 	firstAt   time.Time
+	backAt    time.Time
 	warmFor   time.Duration
 	cold      bool
 	recent    []time.Time
@@ -99,6 +100,11 @@
 	l.behaviour.untold = !told
 }
 
+// away reports whether the leaf is down or restarts. The caller holds the lock.
+func (l *Leaf) away(now time.Time) bool {
+	return l.behaviour.down || now.Before(l.backAt)
+}
+
 // warmed ends coldness once the leaf has been warming up under work for the
 // declared time. The caller holds the lock.
 func (l *Leaf) warmed(now time.Time) {
@@ -122,7 +128,12 @@
 func (l *Leaf) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	silent := l.behaviour.silent || l.silentOld[r.RemoteAddr]
+	away := l.away(time.Now())
 	l.mu.Unlock()
+	if away {
+		l.cut(w, "", "dropped")
+		return
+	}
 	if silent {
 		l.beSilent(r)
 		return
@@ -179,6 +190,7 @@
 	if err != nil {
 		return
 	}
+	began := time.Now()
 	caller := callerID(body)
 	snapshot, refusal := l.admit(r.Header.Get("Snapshot"))
 	if refusal != "" {
@@ -186,13 +198,12 @@
 		l.refuse(w, r, refusal)
 		return
 	}
-	took, ran := l.work(r.Context(), deadlineOf(r))
-	if !ran {
+	if !l.work(r.Context(), deadlineOf(r)) {
 		l.record(r, caller, snapshot, Abandoned, "")
 		l.refuse(w, r, Shed)
 		return
 	}
-	l.answer(w, r, caller, snapshot, took)
+	l.answer(w, r, caller, snapshot, time.Since(began))
 }
 
 // admit decides whether a request runs, and on which snapshot.
@@ -229,24 +240,23 @@
 
 // work waits for a slot and runs. It reports false where the deadline or the
 // client's leaving came before the work began.
-func (l *Leaf) work(ctx context.Context, deadline time.Duration) (time.Duration, bool) {
+func (l *Leaf) work(ctx context.Context, deadline time.Duration) bool {
 	timer := time.NewTimer(deadline)
 	defer timer.Stop()
 	select {
 	case l.slots <- struct{}{}:
 	case <-timer.C:
 		l.count(-1, 0)
-		return 0, false
+		return false
 	case <-ctx.Done():
 		l.count(-1, 0)
-		return 0, false
+		return false
 	}
 	l.count(-1, 1)
-	took := l.duration()
-	time.Sleep(took)
+	time.Sleep(l.duration())
 	<-l.slots
 	l.count(0, -1)
-	return took, true
+	return true
 }
 
 func (l *Leaf) count(waiting, running int) {
@@ -269,131 +279,3 @@
 	}
 	return took
 }
-
-func (l *Leaf) refuse(w http.ResponseWriter, r *http.Request, refusal string) {
-	reason := "shed"
-	switch refusal {
-	case RefusedLeaving:
-		reason = "leaving"
-	case RefusedSnapshot:
-		reason = "snapshot"
-	}
-	l.mu.Lock()
-	l.reportHeaders(w.Header(), l.state())
-	l.mu.Unlock()
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	w.Header().Set("Not-Run", reason)
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// answer sends the result, spoiled where a fault is drawn.
-func (l *Leaf) answer(w http.ResponseWriter, r *http.Request, caller, snapshot string, took time.Duration) {
-	l.mu.Lock()
-	fault := l.drawFault()
-	l.reportHeaders(w.Header(), l.state())
-	l.mu.Unlock()
-	l.record(r, caller, snapshot, Ran, fault)
-	id := r.Header.Get("Request-Id")
-	body := fmt.Sprintf(`[{"leaf":%s,"caller":%s,"snapshot":%s,"took-us":%d}]`, quote(l.name), quote(caller), quote(snapshot), took.Microseconds())
-	switch fault {
-	case "crossed":
-		id = "another-" + id
-		body = `[{"leaf":"x","caller":"somebody-else"}]`
-	case "malformed":
-		body = body[:len(body)-2] + "}}"
-	case "oversized":
-		body = `["` + strings.Repeat("x", oversizedBytes) + `"]`
-	}
-	h := w.Header()
-	h.Set("Request-Id", id)
-	h.Set("Snapshot", snapshot)
-	h.Set("Content-Type", "application/json")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	if fault == "dropped" || fault == "truncated" {
-		l.cut(w, body, fault)
-		return
-	}
-	_, _ = io.WriteString(w, body)
-}
-
-// cut breaks the connection before the result or in the middle of it.
-func (l *Leaf) cut(w http.ResponseWriter, body, fault string) {
-	if fault == "truncated" {
-		_, _ = io.WriteString(w, body[:len(body)/2])
-		_ = http.NewResponseController(w).Flush()
-	}
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err == nil {
-		_ = conn.Close()
-	}
-}
-
-// drawFault draws at most one fault. The caller holds the lock.
-func (l *Leaf) drawFault() string {
-	x := l.rng.Float64()
-	for _, f := range []struct {
-		name  string
-		share float64
-	}{
-		{"crossed", l.behaviour.crossed},
-		{"truncated", l.behaviour.truncated},
-		{"oversized", l.behaviour.oversized},
-		{"malformed", l.behaviour.malformed},
-		{"dropped", l.behaviour.dropped},
-	} {
-		if x < f.share {
-			return f.name
-		}
-		x -= f.share
-	}
-	return ""
-}
-
-func (l *Leaf) record(r *http.Request, caller, snapshot, outcome, fault string) {
-	l.mu.Lock()
-	cold := l.cold
-	l.mu.Unlock()
-	l.journal.add(Record{
-		at:        time.Now(),
-		leaf:      l.name,
-		operation: r.Header.Get("Operation"),
-		request:   r.Header.Get("Request-Id"),
-		caller:    caller,
-		snapshot:  snapshot,
-		outcome:   outcome,
-		fault:     fault,
-		cold:      cold,
-	})
-}
-
-func deadlineOf(r *http.Request) time.Duration {
-	millis, err := strconv.ParseInt(r.Header.Get("Deadline-Ms"), 10, 64)
-	if err != nil {
-		return time.Minute
-	}
-	return time.Duration(millis) * time.Millisecond
-}
-
-// callerID finds the caller's id among the parameters.
-func callerID(body []byte) string {
-	dec := jsontext.NewDecoder(strings.NewReader(string(body)))
-	if _, err := dec.ReadToken(); err != nil {
-		return ""
-	}
-	for dec.PeekKind() == '"' {
-		key, err := dec.ReadToken()
-		if err != nil {
-			return ""
-		}
-		name := key.String()
-		value, err := dec.ReadValue()
-		if err != nil {
-			return ""
-		}
-		if name == requestKey {
-			text, _ := jsontext.AppendUnquote(nil, value)
-			return string(text)
-		}
-	}
-	return ""
-}
