Overload is not taken for coldness

Cause: complete answers at 3 times the load were 37 a second where 60 were complete at 1 time. Every partial answer lacked the same one service: its targets had been taken for cold one after another, since load that leaves the first makes the others as slow. Ruled out: the allowance of warming targets (no limit at that rate), the processor (2,250 sub-requests a second), the leafs' queues (none shed). One change: no more than a third of a service's targets are taken for cold by inference, and a slow response is compared with the siblings. Conclusion: one target of three still falls when all slow down at once.

--- a/core/process/entry/query.go
+++ b/core/process/entry/query.go
@@ -45,8 +45,8 @@
 	if allowed == 0 {
 		allowed = declared.deadline
 	}
-	if expected := declared.expectedWait(began); !admission.Admits(expected, allowed) {
-		return query.NewRefusal(request, result.New(result.Overloaded, "the wait would be %d ms of %d ms", expected.Milliseconds(), allowed.Milliseconds()))
+	if wait, response := declared.expected(began); !admission.Admits(wait, response, allowed) {
+		return query.NewRefusal(request, result.New(result.Overloaded, "the wait would be %d ms of %d ms", wait.Milliseconds(), allowed.Milliseconds()))
 	}
 	run := &queryRun{entry: e, version: version, declared: declared, request: request}
 	deadline := began.Add(allowed)
--- a/core/process/entry/serving.go
+++ b/core/process/entry/serving.go
@@ -89,14 +89,14 @@
 	return out
 }
 
-// expectedWait returns how long a query that begins now would wait in the
-// longest of its queues.
-func (q *servingQuery) expectedWait(now time.Time) time.Duration {
-	longest := time.Duration(0)
+// expected returns how long a query that begins now would wait in the longest
+// of its queues, and how long the slowest of its services takes to respond.
+func (q *servingQuery) expected(now time.Time) (wait, response time.Duration) {
 	for _, s := range q.services {
-		longest = max(longest, s.queue.Expected(now))
+		wait = max(wait, s.queue.Expected(now))
+		response = max(response, s.latency.Delay())
 	}
-	return longest
+	return wait, response
 }
 
 // chooseSnapshot returns the snapshot that the most services can serve now,
--- a/core/process/target/outcome.go
+++ b/core/process/target/outcome.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/leaf"
@@ -37,7 +39,7 @@
 	t.suspect = false
 	t.sheds = 0
 	if t.jumped(took) {
-		t.fall(now)
+		t.suspectCold(now)
 		return
 	}
 	if t.state == Cold && t.mayRamp(now) {
@@ -49,22 +51,52 @@
 }
 
 // jumped reports whether several responses in a row took many times the usual
-// time. One slow response is a straggler and says nothing about warmth.
+// time, and many times that of the siblings. One slow response is a straggler;
+// siblings that are slow together are overloaded, not cold.
 func (t *Target) jumped(took time.Duration) bool {
-	usual := t.average
-	if usual == 0 {
-		t.average = took
+	average(&t.recent, took, recentWeight)
+	if t.usual == 0 {
+		t.usual = took
 		return false
 	}
-	if took > latencyJump*usual && t.state == Warm {
+	if t.state == Warm && took > latencyJump*t.usual && took > siblingJump*t.siblingTime() {
 		t.jumps++
 		return t.jumps >= jumpsInRow
 	}
 	t.jumps = 0
-	t.average = usual + time.Duration(latencyWeight*float64(took-usual))
+	t.usual += time.Duration(usualWeight * float64(took-t.usual))
 	return false
 }
 
+// average moves an average towards a new value; the first sets it.
+func average(of *atomic.Int64, value time.Duration, weight float64) {
+	old := of.Load()
+	if old == 0 {
+		of.Store(int64(value))
+		return
+	}
+	of.Store(old + int64(weight*float64(int64(value)-old)))
+}
+
+// siblingTime returns the median of the siblings' recent response times, 0
+// where there are none.
+func (t *Target) siblingTime() time.Duration {
+	var times []int64
+	for _, s := range t.group {
+		if recent := s.recent.Load(); s != t && recent > 0 {
+			times = append(times, recent)
+		}
+		if len(times) == maxCompared {
+			break
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return time.Duration(times[len(times)/2])
+}
+
 func (t *Target) refused(reason leaf.RefusalReason, now time.Time) {
 	t.answered()
 	switch reason {
@@ -72,7 +104,7 @@
 		t.sheds++
 		t.ramp.shed()
 		if t.state == Warming || t.sheds >= shedsInRow {
-			t.fall(now)
+			t.suspectCold(now)
 		}
 	case leaf.RefusedLeaving:
 		t.leave(t.startID, now)
--- a/core/process/target/table.go
+++ b/core/process/target/table.go
@@ -67,6 +67,7 @@
 			keep[l.Name()] = target
 			out[s.Name()] = append(out[s.Name()], target)
 		}
+		acquaint(out[s.Name()])
 	}
 	for name, target := range t.targets {
 		if keep[name] != target {
@@ -77,6 +78,16 @@
 	return out
 }
 
+// acquaint tells each target of a service which targets there are. They share
+// one list.
+func acquaint(group []*Target) {
+	for _, t := range group {
+		t.mu.Lock()
+		t.group = group
+		t.mu.Unlock()
+	}
+}
+
 // target returns the known target of a leaf, or a new one where the leaf is
 // new or has moved. The caller holds the lock.
 func (t *Table) target(s configuration.Service, l configuration.Leaf, entryVMs int, inService bool) *Target {
--- a/core/process/target/target.go
+++ b/core/process/target/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/leaf"
@@ -15,12 +16,21 @@
 	suspectAfter = 2
 	// otherCentreCost is what a leaf of another data centre is worse, in slots.
 	otherCentreCost = 0.34
-	// latencyJump is how many times slower than usual a response must be to
-	// count towards a cold turn, and jumpsInRow how many of them in a row.
+	// latencyJump is how many times slower than the target's usual time
+	// a response must be to count towards a cold turn, siblingJump how many
+	// times slower than its siblings, and jumpsInRow how many in a row.
 	latencyJump = 8
+	siblingJump = 4
 	jumpsInRow  = 4
-	// latencyWeight is the weight of a new response in the moving average.
-	latencyWeight = 0.1
+	// maxInferredPart is the part of a service's targets, as one in so many,
+	// that may be taken for cold by inference at the same time.
+	maxInferredPart = 3
+	// maxCompared bounds the siblings that a response is compared with.
+	maxCompared = 16
+	// usualWeight and recentWeight are the weights of a new response in the
+	// two moving averages.
+	usualWeight  = 0.1
+	recentWeight = 0.3
 	// shedsInRow is the number of sheds in a row that make a warm target cold.
 	shedsInRow = 3
 )
@@ -33,9 +43,17 @@
 	pool    *leaf.Pool
 	local   bool
 	table   *Table
+	// recent is the moving average of the latest responses in nanoseconds. It
+	// is read by siblings without this target's lock.
+	recent atomic.Int64
+	// doubtedUntil is the time in Unix nanoseconds until which what requests
+	// showed goes before what the leaf says. Siblings read it too.
+	doubtedUntil atomic.Int64
 
-	mu        sync.Mutex
-	state     string
+	mu    sync.Mutex
+	state string
+	// group is all targets of the service, this one among them.
+	group     []*Target
 	inService bool
 	heard     bool
 	startID   string
@@ -46,7 +64,6 @@
 	warmUp    time.Duration
 	saysWarm  bool
 	bornAt    time.Time
-	doubtedAt time.Time
 	load      float64
 	loadAt    time.Time
 	snapshots []string
@@ -55,7 +72,7 @@
 	suspect   bool
 	sheds     int
 	jumps     int
-	average   time.Duration
+	usual     time.Duration
 	changedAt time.Time
 }
 
@@ -168,13 +185,12 @@
 	case leaf.SaysLeaving:
 		t.leave(t.startID, now)
 	case leaf.SaysCold:
-		t.saysWarm = false
 		if t.state == Warm {
-			t.fall(now)
+			t.turnedCold(now)
 		}
+		t.saysWarm = false
 	case leaf.SaysWarm:
-		// What requests showed goes before what the leaf says.
-		t.saysWarm = t.doubtedAt.IsZero() || now.Sub(t.doubtedAt) >= t.warmUp
+		t.saysWarm = !t.doubted(now)
 	case leaf.SaysNothing:
 	}
 }
@@ -187,13 +203,13 @@
 	}
 	t.startID = startID
 	t.saysWarm = false
-	t.doubtedAt = time.Time{}
+	t.doubtedUntil.Store(0)
 	t.move(eventRestart, now)
 	t.bornAt = now
 	t.ramp = newRamp(t.coldShare, now)
 	t.sheds = 0
 	t.jumps = 0
-	t.average = 0
+	t.usual = 0
 }
 
 // Leave marks the life of the leaf under the start id as leaving.
@@ -220,7 +236,7 @@
 	if startID == "" || (t.startID != "" && t.startID != startID) || t.state == Leaving {
 		return
 	}
-	if !t.doubtedAt.IsZero() && now.Sub(t.doubtedAt) < t.warmUp {
+	if t.doubted(now) {
 		return
 	}
 	t.startID = startID
@@ -233,7 +249,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if startID == t.startID && (t.state == Warm || t.state == Warming) {
-		t.fall(now)
+		t.suspectCold(now)
 	}
 }
 
@@ -245,15 +261,37 @@
 	t.heard = heard
 }
 
-func (t *Target) fall(now time.Time) {
+// doubted reports whether requests have shown lately that the leaf is cold.
+func (t *Target) doubted(now time.Time) bool {
+	return now.UnixNano() < t.doubtedUntil.Load()
+}
+
+// suspectCold takes the target for cold because of what requests show. That is
+// an inference, and load that moves to the siblings makes them look the same;
+// so no more than a third of a service's targets are taken for cold that way.
+func (t *Target) suspectCold(now time.Time) {
+	others := 0
+	for _, s := range t.group {
+		if s != t && s.doubted(now) {
+			others++
+		}
+	}
+	if others >= max(1, len(t.group)/maxInferredPart) {
+		return
+	}
+	t.turnedCold(now)
+	t.doubtedUntil.Store(now.Add(t.warmUp).UnixNano())
+}
+
+// turnedCold starts anew at the share of the cold capacity.
+func (t *Target) turnedCold(now time.Time) {
 	t.move(eventFall, now)
 	t.bornAt = now
-	t.doubtedAt = now
 	t.saysWarm = false
 	t.ramp = newRamp(t.coldShare, now)
 	t.sheds = 0
 	t.jumps = 0
-	t.average = 0
+	t.usual = 0
 }
 
 // mayRamp reports whether the allowance may grow: the leaf says that it is
--- a/core/process/target/target_test.go
+++ b/core/process/target/target_test.go
@@ -127,6 +127,42 @@
 	}
 }
 
+func TestSlowSiblingsAreOverloadedAndNotCold(t *testing.T) {
+	_, targets := newTestTable()
+	now := began
+	for _, x := range targets {
+		x.Probed(report("life-1", leaf.SaysWarm), nil, began)
+		x.Warmed("life-1", began)
+		drive(x, began, time.Second, 100, func() leaf.Outcome { return answered("life-1", leaf.SaysWarm) })
+	}
+	for range 20 {
+		for _, x := range targets {
+			x.inFlight++
+			x.Settle(answered("life-1", leaf.SaysWarm), 90*time.Millisecond, now)
+		}
+	}
+	for _, x := range targets {
+		expectState(t, x, Warm)
+	}
+}
+
+func TestNoMoreThanAThirdIsTakenForCold(t *testing.T) {
+	_, targets := newTestTable()
+	for _, x := range targets {
+		x.Probed(report("life-1", leaf.SaysWarm), nil, began)
+		x.Warmed("life-1", began)
+	}
+	for _, x := range targets {
+		x.Cooled("life-1", began)
+	}
+	expectState(t, targets[0], Cold)
+	expectState(t, targets[1], Warm)
+	expectState(t, targets[2], Warm)
+	// What a leaf says of itself is no inference.
+	targets[1].Observe(report("life-1", leaf.SaysCold), began)
+	expectState(t, targets[1], Cold)
+}
+
 func TestWordOfWarmthLosesAgainstWhatRequestsShow(t *testing.T) {
 	_, targets := newTestTable()
 	x := targets[0]
--- a/core/request/admission/queue.go
+++ b/core/request/admission/queue.go
@@ -124,9 +124,13 @@
 	return window * time.Duration(len(q.waiting)) / time.Duration(max(departed, 1))
 }
 
+// usable is the part of the time left that a query may plan with; the rest is
+// kept for the queue being longer than expected.
+const usable = 0.8
+
 // Admits reports whether a query with the given time left may begin where its
-// longest queue is expected to take so long. Half of the time is kept for the
-// target itself and for the queue being longer than expected.
-func Admits(expected, left time.Duration) bool {
-	return expected <= left/2
+// longest queue is expected to take the wait, and a target the response time.
+// Without a wait every query is admitted.
+func Admits(wait, response, left time.Duration) bool {
+	return wait == 0 || float64(wait+response) <= usable*float64(left)
 }
--- a/core/request/admission/queue_test.go
+++ b/core/request/admission/queue_test.go
@@ -54,8 +54,9 @@
 }
 
 func ExampleAdmits() {
-	fmt.Println(admission.Admits(100*time.Millisecond, 260*time.Millisecond))
-	fmt.Println(admission.Admits(200*time.Millisecond, 260*time.Millisecond))
+	response := 80 * time.Millisecond
+	fmt.Println(admission.Admits(100*time.Millisecond, response, 260*time.Millisecond))
+	fmt.Println(admission.Admits(200*time.Millisecond, response, 260*time.Millisecond))
 	// Output:
 	// true
 	// false
--- a/mulberrydale/vm/loops.go
+++ b/mulberrydale/vm/loops.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/entry"
@@ -117,6 +119,7 @@
 	var items []peer.Item
 	for _, c := range v.table.TakeChanges() {
 		items = append(items, peer.NewItem(c.Target(), c.StartID(), c.State(), 0))
+		v.log.Info("target changed", zap.String("target", c.Target()), zap.String("start-id", c.StartID()), zap.String("state", c.State()))
 	}
 	if len(items) > 0 {
 		v.mesh.Broadcast(peer.NewNews(items))
