--- a/core/process/entry/directory.go
+++ b/core/process/entry/directory.go
@@ -48,6 +48,9 @@
 	budget := d.hedges
 	if purpose == fanout.Retry {
 		budget = d.services[part].retries
+	} else if d.services[part].queue.Len() > 0 {
+		// While first requests wait for room, a hedge only takes it from them.
+		return fanout.NewLater(now.Add(budgetWait))
 	}
 	if !budget.Take() {
 		return fanout.NewLater(now.Add(budgetWait))
--- a/core/process/target/choose.go
+++ b/core/process/target/choose.go
@@ -112,6 +112,13 @@
 	return true, t.holds(snapshot), t.score(now)
 }
 
+// full reports whether the leaf said, lately, that requests queue up in it. A
+// longer queue there serves nobody sooner; what waits here can still go
+// elsewhere. The caller holds the lock.
+func (t *Target) full(now time.Time) bool {
+	return t.load >= maxLoadPerSlot*float64(t.slots) && now.Sub(t.loadAt) < loadHalfLife
+}
+
 // acquire takes a place at the target: one of this VM's connections and, while
 // the target is not warm, a token of its ramp.
 func (t *Target) acquire(now time.Time) (ok bool, at time.Time) {
@@ -120,7 +127,7 @@
 	if !t.usable() {
 		return false, now.Add(busyWait)
 	}
-	if t.inFlight >= t.pool.Share() {
+	if t.inFlight >= t.pool.Share() || t.inFlight > 0 && t.full(now) {
 		return false, now.Add(busyWait)
 	}
 	if t.state != Warm {
--- a/core/process/target/outcome.go
+++ b/core/process/target/outcome.go
@@ -103,7 +103,7 @@
 	case leaf.RefusedShed:
 		t.sheds++
 		t.ramp.shed()
-		if t.state == Warming || t.sheds >= shedsInRow {
+		if t.sheds >= shedsInRow {
 			t.suspectCold(now)
 		}
 	case leaf.RefusedLeaving:
--- a/core/process/target/ramp.go
+++ b/core/process/target/ramp.go
@@ -76,5 +76,12 @@
 	return r.doublings >= rampDoublings
 }
 
-// shed counts a refusal for load.
-func (r *ramp) shed() { r.sheds++ }
+// shed counts a refusal for load and takes one doubling back. One refusal says
+// that this much was too much, not that the target is cold again.
+func (r *ramp) shed() {
+	r.sheds++
+	if r.doublings > 0 {
+		r.rate /= 2
+		r.doublings--
+	}
+}
--- a/core/process/target/target.go
+++ b/core/process/target/target.go
@@ -12,6 +12,8 @@
 const (
 	// loadHalfLife is the age at which a report has lost half of its weight.
 	loadHalfLife = 500 * time.Millisecond
+	// maxLoadPerSlot is the load per slot from which a leaf counts as full.
+	maxLoadPerSlot = 1.5
 	// suspectAfter is the number of sub-requests in a row without a response.
 	suspectAfter = 2
 	// otherCentreCost is what a leaf of another data centre is worse, in slots.
@@ -20,8 +22,8 @@
 	// a response must be to count towards a cold turn, siblingJump how many
 	// times slower than its siblings, and jumpsInRow how many in a row.
 	latencyJump = 8
-	siblingJump = 4
-	jumpsInRow  = 4
+	siblingJump = 5
+	jumpsInRow  = 6
 	// maxInferredPart is the part of a service's targets, as one in so many,
 	// that may be taken for cold by inference at the same time.
 	maxInferredPart = 3
@@ -30,7 +32,7 @@
 	// usualWeight and recentWeight are the weights of a new response in the
 	// two moving averages.
 	usualWeight  = 0.1
-	recentWeight = 0.3
+	recentWeight = 0.5
 	// shedsInRow is the number of sheds in a row that make a warm target cold.
 	shedsInRow = 3
 )
--- a/core/process/target/target_test.go
+++ b/core/process/target/target_test.go
@@ -92,6 +92,21 @@
 	assert.Equal(t, r.rate, 10.0)
 }
 
+func TestOneShedTakesOneDoublingBack(t *testing.T) {
+	r := newRamp(10, began)
+	for i := range 200 {
+		r.succeed(began.Add(time.Duration(i) * 25 * time.Millisecond))
+	}
+	before := r.rate
+	assert.Assert(t, before > 10)
+	r.shed()
+	assert.Equal(t, r.rate, before/2)
+	for range 20 {
+		r.shed()
+	}
+	assert.Equal(t, r.rate, 10.0)
+}
+
 func TestFallsBackToCold(t *testing.T) {
 	tests := []struct {
 		name string
--- a/core/request/admission/queue.go
+++ b/core/request/admission/queue.go
@@ -13,7 +13,7 @@
 	bucketTime = 250 * time.Millisecond
 	buckets    = 4
 	// fewWaiting is a queue that is short whatever its rate.
-	fewWaiting = 4
+	fewWaiting = 2
 )
 
 // Ticket is a place in a queue.
@@ -126,7 +126,7 @@
 
 // usable is the part of the time left that a query may plan with; the rest is
 // kept for the queue being longer than expected.
-const usable = 0.8
+const usable = 0.65
 
 // Admits reports whether a query with the given time left may begin where its
 // longest queue is expected to take the wait, and a target the response time.
