Scenarios for content, restarts and at most once; what a new VM is told

Cause: a VM that starts knew only which targets are warm; those that its peers had proven to a rate short of warm were cold for it, and 1.8 % of the answers during restarts lacked a service. A light load paid 0.09 new connections a query, since the second connection of a pool was opened by whichever query met a probe. Changes: news to a new life carries the proven rate; probes prove as many connections as a leaf has slots; a slow response from a leaf in which requests queue up counts double towards a cold turn.

--- a/core/connection/frame/codec.go
+++ b/core/connection/frame/codec.go
@@ -39,6 +39,9 @@
 // Int writes a whole number.
 func (e *Encoder) Int(n int64) { e.keep(e.enc.EncodeInt(n)) }
 
+// Float writes a number with a fraction.
+func (e *Encoder) Float(f float64) { e.keep(e.enc.EncodeFloat64(f)) }
+
 // Bool writes a truth value.
 func (e *Encoder) Bool(b bool) { e.keep(e.enc.EncodeBool(b)) }
 
@@ -123,6 +126,16 @@
 	return n
 }
 
+// Float reads a number with a fraction.
+func (d *Decoder) Float() float64 {
+	if d.err != nil {
+		return 0
+	}
+	f, err := d.dec.DecodeFloat64()
+	d.keep(err)
+	return f
+}
+
 // Bool reads a truth value.
 func (d *Decoder) Bool() bool {
 	if d.err != nil {
--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -110,13 +110,14 @@
 		enc.String(i.startID)
 		enc.String(i.state)
 		enc.Duration(i.age)
+		enc.Float(i.rate)
 	}
 }
 
 func decodeNews(dec *frame.Decoder) News {
 	var items []Item
 	for range dec.Len() {
-		items = append(items, Item{target: dec.String(), startID: dec.String(), state: dec.String(), age: dec.Duration()})
+		items = append(items, Item{target: dec.String(), startID: dec.String(), state: dec.String(), age: dec.Duration(), rate: dec.Float()})
 	}
 	return News{items: items}
 }
--- a/core/connection/peer/message.go
+++ b/core/connection/peer/message.go
@@ -61,6 +61,7 @@
 	startID string
 	state   string
 	age     time.Duration
+	rate    float64
 }
 
 // News carries what changed about targets.
@@ -180,9 +181,10 @@
 // Payload returns the encoded outcome, empty where there is none.
 func (r Reply) Payload() []byte { return r.payload }
 
-// NewItem returns a piece of news about a target's life.
-func NewItem(target, startID, state string, age time.Duration) Item {
-	return Item{target: target, startID: startID, state: state, age: age}
+// NewItem returns a piece of news about a target's life. The rate is what one
+// VM may send to a warming target, in sub-requests a second.
+func NewItem(target, startID, state string, age time.Duration, rate float64) Item {
+	return Item{target: target, startID: startID, state: state, age: age, rate: rate}
 }
 
 // Target returns the name of the leaf.
@@ -197,6 +199,10 @@
 // Age returns how old the news was when it was sent.
 func (i Item) Age() time.Duration { return i.age }
 
+// Rate returns what one VM may send to a warming target, in sub-requests
+// a second.
+func (i Item) Rate() float64 { return i.rate }
+
 // NewNews returns news about targets.
 func NewNews(items []Item) News { return News{items: items} }
 
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -23,7 +23,7 @@
 	peer.NewPush(4, []byte("{}")),
 	peer.NewForward(5, []byte{3}),
 	peer.NewReply(5, nil),
-	peer.NewNews([]peer.Item{peer.NewItem("l-1", "life-1", "warm", time.Second)}),
+	peer.NewNews([]peer.Item{peer.NewItem("l-1", "life-1", "warm", time.Second, 3.5)}),
 }
 
 func TestMessagesComeBack(t *testing.T) {
--- a/core/process/entry/prober.go
+++ b/core/process/entry/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/process/target"
@@ -62,15 +63,24 @@
 	}
 }
 
+// prepareEvery is the number of probes after which all connections that a light
+// load uses are proven, so that no query pays for a new one.
+const prepareEvery = 20
+
 // probe asks one target for its health again and again.
 type probe struct {
 	target *target.Target
+	count  int
 }
 
 // loop probes until ctx ends. The interval varies by a quarter, so that the
 // probes of many VMs that started together drift apart.
 func (p *probe) loop(ctx context.Context) {
 	for {
+		if p.count%prepareEvery == 0 {
+			p.prepare(ctx)
+		}
+		p.count++
 		p.once(ctx)
 		wait := probeInterval*3/4 + rand.N(probeInterval/2)
 		select {
@@ -81,6 +91,29 @@
 	}
 }
 
+// prepare proves as many connections at once as the leaf has slots, within
+// this VM's share.
+func (p *probe) prepare(ctx context.Context) {
+	var wg sync.WaitGroup
+	for range min(p.target.Pool().Share(), p.target.Slots()) - 1 {
+		wg.Add(1)
+		go (&preparation{probe: p, wg: &wg}).run(ctx)
+	}
+	p.once(ctx)
+	wg.Wait()
+}
+
+// preparation is one of several probes at the same time.
+type preparation struct {
+	probe *probe
+	wg    *sync.WaitGroup
+}
+
+func (r *preparation) run(ctx context.Context) {
+	defer r.wg.Done()
+	r.probe.once(ctx)
+}
+
 func (p *probe) once(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/core/process/target/outcome.go
+++ b/core/process/target/outcome.go
@@ -38,7 +38,7 @@
 	t.answered()
 	t.suspect = false
 	t.sheds = 0
-	if t.jumped(took) {
+	if t.jumped(took, now) {
 		t.suspectCold(now)
 		return
 	}
@@ -53,7 +53,7 @@
 // jumped reports whether several responses in a row took many times the usual
 // time, and many times that of the siblings. One slow response is a straggler;
 // siblings that are slow together are overloaded, not cold.
-func (t *Target) jumped(took time.Duration) bool {
+func (t *Target) jumped(took time.Duration, now time.Time) bool {
 	average(&t.recent, took, recentWeight)
 	if t.usual == 0 {
 		t.usual = took
@@ -61,6 +61,9 @@
 	}
 	if t.state == Warm && took > latencyJump*t.usual && took > siblingJump*t.siblingTime() {
 		t.jumps++
+		if t.full(now) {
+			t.jumps += fullJump - 1
+		}
 		return t.jumps >= jumpsInRow
 	}
 	t.jumps = 0
--- a/core/process/target/ramp.go
+++ b/core/process/target/ramp.go
@@ -76,6 +76,14 @@
 	return r.doublings >= rampDoublings
 }
 
+// raise doubles the allowance up to a rate that others have proven.
+func (r *ramp) raise(rate float64) {
+	for r.rate*2 <= rate && r.doublings < rampDoublings {
+		r.rate *= 2
+		r.doublings++
+	}
+}
+
 // shed counts a refusal for load and takes one doubling back. One refusal says
 // that this much was too much, not that the target is cold again.
 func (r *ramp) shed() {
--- a/core/process/target/table.go
+++ b/core/process/target/table.go
@@ -78,6 +78,27 @@
 	return out
 }
 
+// inherit takes over what is known of the same leaf from a target whose share
+// of connections was another: a change of limits must not make it cold.
+func (t *Target) inherit(old *Target) {
+	old.mu.Lock()
+	defer old.mu.Unlock()
+	t.state = old.state
+	t.startID = old.startID
+	t.leftID = old.leftID
+	t.load = old.load
+	t.loadAt = old.loadAt
+	t.snapshots = old.snapshots
+	t.ramp = old.ramp
+	t.suspect = old.suspect
+	t.usual = old.usual
+	t.saysWarm = old.saysWarm
+	t.bornAt = old.bornAt
+	t.changedAt = old.changedAt
+	t.recent.Store(old.recent.Load())
+	t.doubtedUntil.Store(old.doubtedUntil.Load())
+}
+
 // acquaint tells each target of a service which targets there are. They share
 // one list.
 func acquaint(group []*Target) {
@@ -94,7 +115,7 @@
 	connections := share.Connections(s.Limits().Connections(), entryVMs)
 	known, ok := t.targets[l.Name()]
 	if !ok || known.leaf != l || known.pool.Share() != connections {
-		known = &Target{
+		fresh := &Target{
 			leaf:    l,
 			service: s.Name(),
 			pool:    leaf.NewPool(l.Address(), connections),
@@ -103,6 +124,10 @@
 			state:   Unknown,
 			heard:   true,
 		}
+		if ok && known.leaf == l {
+			fresh.inherit(known)
+		}
+		known = fresh
 	}
 	known.mu.Lock()
 	known.inService = inService
--- a/core/process/target/target.go
+++ b/core/process/target/target.go
@@ -20,10 +20,12 @@
 	otherCentreCost = 0.34
 	// latencyJump is how many times slower than the target's usual time
 	// a response must be to count towards a cold turn, siblingJump how many
-	// times slower than its siblings, and jumpsInRow how many in a row.
+	// times slower than its siblings, and jumpsInRow how many in a row. One
+	// from a leaf in which requests queue up counts for fullJump.
 	latencyJump = 8
 	siblingJump = 5
 	jumpsInRow  = 6
+	fullJump    = 2
 	// maxInferredPart is the part of a service's targets, as one in so many,
 	// that may be taken for cold by inference at the same time.
 	maxInferredPart = 3
@@ -87,6 +89,13 @@
 // Pool returns the connections to the leaf.
 func (t *Target) Pool() *leaf.Pool { return t.pool }
 
+// Slots returns how many requests the leaf runs at the same time.
+func (t *Target) Slots() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.slots
+}
+
 // State returns the state of the target.
 func (t *Target) State() string {
 	t.mu.Lock()
@@ -108,11 +117,12 @@
 	return t.suspect
 }
 
-// News returns the state, the start id and the time since the last change.
-func (t *Target) News(now time.Time) (state, startID string, age time.Duration) {
+// News returns the state, the start id, the time since the last change, and
+// what this VM may send while the target is warming, in sub-requests a second.
+func (t *Target) News(now time.Time) (state, startID string, age time.Duration, rate float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.state, t.startID, now.Sub(t.changedAt)
+	return t.state, t.startID, now.Sub(t.changedAt), t.ramp.rate
 }
 
 // Holdings returns the snapshots that the leaf last said it holds, none while
@@ -245,6 +255,25 @@
 	t.move(eventProven, now)
 }
 
+// WarmedTo takes in a peer's word that the life under the start id has borne
+// a rate from each VM.
+func (t *Target) WarmedTo(startID string, rate float64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.state == Unknown && t.startID == "" && startID != "" {
+		// The word came before the first probe, which will tell if it is stale.
+		t.startID = startID
+		t.move(eventFound, now)
+		t.bornAt = now
+		t.ramp = newRamp(t.coldShare, now)
+	}
+	if startID != t.startID || t.doubted(now) || (t.state != Cold && t.state != Warming) {
+		return
+	}
+	t.move(eventSuccess, now)
+	t.ramp.raise(rate)
+}
+
 // Cooled takes in a peer's word that the life under the start id has turned
 // cold without a restart.
 func (t *Target) Cooled(startID string, now time.Time) {
--- a/core/process/target/target_test.go
+++ b/core/process/target/target_test.go
@@ -253,6 +253,39 @@
 	assert.Equal(t, none.Reason(), NoSnapshot)
 }
 
+func TestChangeOfLimitsKeepsWarmth(t *testing.T) {
+	table, targets := newTestTable()
+	for _, x := range targets {
+		x.Probed(report("life-1", leaf.SaysWarm), nil, began)
+		x.Warmed("life-1", began)
+	}
+	limits := configuration.NewLimits(2, 80, 20, 0, warmUp)
+	cfg := configuration.New("test", 2, []configuration.DataCentre{configuration.NewDataCentre("dc-1", "r", true)},
+		[]configuration.Service{configuration.NewService("s", limits, true, []configuration.Leaf{targets[0].leaf})}, nil, nil)
+	after := table.Apply(cfg, began)["s"][0]
+	assert.Equal(t, after.Pool().Share(), 40)
+	expectState(t, after, Warm)
+	assert.Equal(t, after.StartID(), "life-1")
+}
+
+func TestPeersWordOfARateRaisesTheAllowance(t *testing.T) {
+	_, targets := newTestTable()
+	x := targets[0]
+	x.Probed(report("life-1", leaf.SaysWarm), nil, began)
+	x.WarmedTo("life-0", 80, began)
+	expectState(t, x, Cold)
+	x.WarmedTo("life-1", 80, began)
+	expectState(t, x, Warming)
+	_, _, _, rate := x.News(began)
+	assert.Equal(t, rate, 80.0)
+
+	early := targets[1]
+	early.WarmedTo("life-0", 80, began)
+	expectState(t, early, Warming)
+	early.Probed(report("life-1", leaf.SaysWarm), nil, began)
+	expectState(t, early, Cold)
+}
+
 func TestTableKeepsWhatStays(t *testing.T) {
 	table, targets := newTestTable()
 	targets[0].Probed(report("life-1", leaf.SaysWarm), nil, began)
--- a/mulberrydale/serve.go
+++ b/mulberrydale/serve.go
@@ -26,6 +26,8 @@
 const (
 	// headerTimeout bounds how long a client may take over its header.
 	headerTimeout = 10 * time.Second
+	// bodyTimeout bounds how long a caller may take over its whole request.
+	bodyTimeout = 30 * time.Second
 	// callerIdle is how long an idle connection of a caller is kept.
 	callerIdle = 2 * time.Minute
 	// drainPoll is the time between two looks at the phase of leaving.
@@ -74,7 +76,7 @@
 		settings:  s,
 		log:       log,
 		vm:        host,
-		callers:   &http.Server{Handler: host.Entry().Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle},
+		callers:   &http.Server{Handler: host.Entry().Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: callerIdle},
 		operators: &http.Server{Handler: operators.Handler(host, reporter.HTTPHandler()), ReadHeaderTimeout: headerTimeout},
 	}
 	return srv.serve()
--- a/mulberrydale/vm/loops.go
+++ b/mulberrydale/vm/loops.go
@@ -118,7 +118,7 @@
 func (v *VM) sendNews() {
 	var items []peer.Item
 	for _, c := range v.table.TakeChanges() {
-		items = append(items, peer.NewItem(c.Target(), c.StartID(), c.State(), 0))
+		items = append(items, peer.NewItem(c.Target(), c.StartID(), c.State(), 0, 0))
 		v.log.Info("target changed", zap.String("target", c.Target()), zap.String("start-id", c.StartID()), zap.String("state", c.State()))
 	}
 	if len(items) > 0 {
@@ -130,9 +130,10 @@
 func (v *VM) allNews(now time.Time) peer.News {
 	var items []peer.Item
 	for _, t := range v.table.Targets() {
-		state, startID, age := t.News(now)
-		if state == target.Warm || state == target.Leaving {
-			items = append(items, peer.NewItem(t.Name(), startID, state, age))
+		state, startID, age, rate := t.News(now)
+		switch state {
+		case target.Warm, target.Warming, target.Leaving:
+			items = append(items, peer.NewItem(t.Name(), startID, state, age, rate))
 		}
 	}
 	return peer.NewNews(items)
--- a/mulberrydale/vm/receive.go
+++ b/mulberrydale/vm/receive.go
@@ -111,6 +111,8 @@
 			t.Leave(item.StartID(), now)
 		case target.Warm:
 			t.Warmed(item.StartID(), now)
+		case target.Warming:
+			t.WarmedTo(item.StartID(), item.Rate(), now)
 		case target.Cold:
 			if item.Age() < staleNews {
 				t.Cooled(item.StartID(), now)
--- a/runner/demo.go
+++ b/runner/demo.go
@@ -43,9 +43,7 @@
 	if err != nil {
 		return errors.Wrap(err, "folder")
 	}
-	if os.Getenv("MULBERRYDALE_KEEP") == "" {
-		defer os.RemoveAll(folder)
-	}
+	defer os.RemoveAll(folder)
 	in, err := installation.New(binaries, folder, file, demoVMs, 1, true)
 	if err != nil {
 		return err
@@ -68,12 +66,7 @@
 // play runs the acts.
 func (d *demo) play(ctx context.Context) error {
 	vms := d.in.VMs()
-	text, err := d.in.Ctl(ctx, vms[0], "--yes", "--reason", "first configuration", "apply", d.in.File())
-	if err != nil {
-		return err
-	}
-	fmt.Println(lastLine(text))
-	if err := d.in.Ready(ctx); err != nil {
+	if err := begin(ctx, d.in); err != nil {
 		return err
 	}
 	time.Sleep(outTime / 2)
@@ -100,6 +93,42 @@
 	return nil
 }
 
+// begin applies the declared configuration and waits until callers may come.
+func begin(ctx context.Context, in *installation.Installation) error {
+	text, err := in.Ctl(ctx, in.VMs()[0], "--yes", "--reason", "first configuration", "apply", in.File())
+	if err != nil {
+		return err
+	}
+	fmt.Println(lastLine(text))
+	return in.Ready(ctx)
+}
+
+// runUp keeps an installation running until ctx ends.
+func runUp(ctx context.Context, binaries, file string) error {
+	folder, err := os.MkdirTemp("", "mulberrydale-up-")
+	if err != nil {
+		return errors.Wrap(err, "folder")
+	}
+	defer os.RemoveAll(folder)
+	in, err := installation.New(binaries, folder, file, demoVMs, 1, true)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	if err := in.Start(ctx); err != nil {
+		return err
+	}
+	if err := begin(ctx, in); err != nil {
+		return err
+	}
+	for _, v := range in.VMs() {
+		fmt.Printf("%s in %s: callers %s, operators %s\n", v.Name(), v.DataCentre(), v.Callers(), v.Operators())
+	}
+	fmt.Printf("stand-in's control page %s; interrupt to stop\n", in.Control())
+	<-ctx.Done()
+	return nil
+}
+
 // ask sends each declared query to each VM and judges the answers. No result
 // may come from the data centre that is out.
 func (d *demo) ask(ctx context.Context, act, out string) {
--- a/runner/main.go
+++ b/runner/main.go
@@ -18,6 +18,8 @@
 	demo := app.Command("demo", "Show the main job from end to end.")
 	demoFile := demo.Arg("configuration", "Configuration file.").Required().String()
 
+	up := app.Command("up", "Start three entry VMs and all leafs, and keep them until interrupted.")
+	upFile := up.Arg("configuration", "Configuration file.").Required().String()
 	bench := app.Command("bench", "Measure scenarios against their bounds.")
 	benchFiles := bench.Arg("configurations", "Configuration files, one a deployment.").Required().Strings()
 	only := bench.Flag("scenario", "Run only scenarios whose name starts with one of these, separated by commas.").String()
@@ -30,6 +32,8 @@
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case demo.FullCommand():
 		err = runDemo(ctx, *binaries, *demoFile)
+	case up.FullCommand():
+		err = runUp(ctx, *binaries, *upFile)
 	case bench.FullCommand():
 		err = runBench(ctx, *binaries, *benchFiles, *only, *seed, *asJSON)
 	}
--- a/runner/scenario/content.go
+++ b/runner/scenario/content.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	s.row("answers that mix or overstate", untrue(answers, records), 0, 0)
-	s.atLeast("complete", share(answers, complete), 1, 0.99)
+	s.complete("complete", answers, 0.99)
 	return nil
 }
 
--- a/runner/scenario/control.go
+++ b/runner/scenario/control.go
@@ -379,7 +379,7 @@
 		return isSub(r) && s.centreOf(r.leaf) == centre
 	}), 0, 0)
 	s.atLeast("queries sent to the frozen VM", float64(len(answers)), 0, 10)
-	s.atLeast("complete after the freeze", share(after, complete), 1, 0.9)
+	s.complete("complete after the freeze", after, 0.9)
 	return nil
 }
 
--- a/runner/scenario/scenarios.go
+++ b/runner/scenario/scenarios.go
@@ -102,7 +102,7 @@
 		}
 		answers := load.wait()
 		s.row(fault+": answers after their deadline", count(answers, late), 0, 0)
-		s.atLeast(fault+": complete from 2 s on", share(since(answers, at.Add(2*time.Second)), complete), 1, 0.999)
+		s.complete(fault+": complete from 2 s on", since(answers, at.Add(2*time.Second)), 0.999)
 		if err := s.set(firstLeafs, fault, "false"); err != nil {
 			return err
 		}
@@ -123,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	s.atLeast("complete from 2 s on", share(since(answers, at.Add(2*time.Second)), complete), 1, 0.999)
+	s.complete("complete from 2 s on", since(answers, at.Add(2*time.Second)), 0.999)
 	s.row("answers after their deadline", count(answers, late), 0, 0)
 	s.row("connections refused by leafs", ran(records, func(r record) bool { return r.outcome == "connection-refused" }), 0, 0)
 	return nil
@@ -194,7 +194,7 @@
 	}
 	cold := func(r record) bool { return r.cold && r.at.After(at.Add(grace)) }
 	s.row("most a cold leaf saw in a second", mostPerSecond(records, cold), 0, 30)
-	s.atLeast("complete", share(answers, complete), 1, 0.99)
+	s.complete("complete", answers, 0.99)
 	back := since(answers, at.Add(30*time.Second))
 	s.atLeast("share of the turned leafs after 30 s", leafShare(back, "-01"), 1.0/3, 0.9/3)
 	return nil
@@ -280,7 +280,7 @@
 	s.row("sub-requests to leaving leafs after 3 s", ran(records, func(r record) bool {
 		return isSub(r) && strings.HasSuffix(r.leaf, "-01") && r.at.After(at.Add(3*time.Second))
 	}), 0, 0)
-	s.atLeast("complete", share(answers, complete), 1, 0.999)
+	s.complete("complete", answers, 0.999)
 	return nil
 }
 
@@ -331,6 +331,6 @@
 	}
 	answers := load.wait()
 	s.row("requests cut", count(answers, func(a driver.Answer) bool { return a.Err() != nil }), 0, 0)
-	s.atLeast("complete", share(answers, complete), 1, 0.99)
+	s.complete("complete", answers, 0.99)
 	return nil
 }
--- a/runner/scenario/stage.go
+++ b/runner/scenario/stage.go
@@ -106,6 +106,39 @@
 	s.rows[len(s.rows)-1].AtLeast = true
 }
 
+// complete adds the part of the answers that are complete, and explains those
+// that are not where the bound is not kept.
+func (s *stage) complete(figure string, answers []driver.Answer, bound float64) {
+	part := share(answers, complete)
+	s.atLeast(figure, part, 1, bound)
+	if part < bound {
+		fmt.Println("  " + explain(answers))
+	}
+}
+
+// explain counts the codes and reasons of answers that are not complete.
+func explain(answers []driver.Answer) string {
+	counts := make(map[string]int)
+	for _, a := range answers {
+		if a.Err() != nil {
+			counts["no answer"]++
+			continue
+		}
+		if !complete(a) {
+			counts[fmt.Sprintf("code %d at %s", a.Code(), a.VM())]++
+		}
+		for _, m := range a.Missing() {
+			counts[m[strings.IndexByte(m, ' ')+1:]]++
+		}
+	}
+	var lines []string
+	for what, n := range counts {
+		lines = append(lines, fmt.Sprintf("%s: %d", what, n))
+	}
+	slices.Sort(lines)
+	return fmt.Sprintf("of %d answers: %s", len(answers), strings.Join(lines, ", "))
+}
+
 // vm returns the VM that request i goes to: one after another, but for those
 // that the balancer knows to be away.
 func (s *stage) vm(i int) *installation.VM {
