--- a/core/process/entry/serving.go
+++ b/core/process/entry/serving.go
@@ -104,11 +104,13 @@
 func (q *servingQuery) chooseSnapshot() (name string, servable int) {
 	holdings := make([]snapshot.Holdings, 0, len(q.services))
 	for _, s := range q.services {
-		var held []string
+		leafs := make([][]string, 0, len(s.targets))
 		for _, t := range s.targets {
-			held = append(held, t.Holdings()...)
+			if held := t.Holdings(); len(held) > 0 {
+				leafs = append(leafs, held)
+			}
 		}
-		holdings = append(holdings, snapshot.NewHoldings(held))
+		holdings = append(holdings, snapshot.NewHoldings(leafs))
 	}
 	return snapshot.Choose(holdings)
 }
--- a/core/version/configuration/slope_test.go
+++ b/core/version/configuration/slope_test.go
@@ -53,6 +53,7 @@
 			b.ReportMetric(float64(len(text))/float64(leafs), "document-bytes/leaf")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(leafs), "ns/leaf")
 			runtime.KeepAlive(cfg)
+			runtime.KeepAlive(text)
 		})
 	}
 }
--- a/core/version/snapshot/snapshot.go
+++ b/core/version/snapshot/snapshot.go
@@ -1,14 +1,37 @@
 // Package snapshot chooses the index snapshot that one query is answered from.
 package snapshot
 
-// Holdings lists, for one service, the snapshots that its usable leafs hold.
+import "slices"
+
+// Holdings lists, for one service, the snapshots that each usable leaf holds.
 type Holdings struct {
-	held []string
+	leafs [][]string
+}
+
+// NewHoldings returns the holdings of a service, a list of names for each leaf.
+func NewHoldings(leafs [][]string) Holdings {
+	return Holdings{leafs: leafs}
+}
+
+// standing is how well a snapshot is held.
+type standing struct {
+	// services can serve the snapshot, broad ones by half of their leafs.
+	services int
+	broad    int
 }
 
-// NewHoldings returns the holdings of a service; names may stand twice.
-func NewHoldings(held []string) Holdings {
-	return Holdings{held: held}
+// better reports whether a snapshot is to be preferred. Coverage goes first;
+// then a snapshot that half of the leafs hold everywhere, because the first
+// leafs of a roll could not bear the load of all; then the newer one.
+func (s standing) better(name string, other standing, otherName string) bool {
+	if s.services != other.services {
+		return s.services > other.services
+	}
+	wide := s.broad == s.services
+	if otherWide := other.broad == other.services; wide != otherWide {
+		return wide
+	}
+	return name > otherName
 }
 
 // Choose returns the snapshot that the most services can serve, the newest of
@@ -17,30 +40,56 @@
 //
 // For example, while a roll from s1 to s2 has reached two of three services
 // and the leafs there still hold s1, s1 serves three services and s2 two, so
-// s1 is chosen; once the third holds both, s2 is chosen.
+// s1 is chosen; once half of the leafs of the third hold both, s2 is chosen.
 func Choose(services []Holdings) (name string, servable int) {
-	counts := make(map[string]int)
+	standings := make(map[string]standing)
 	for _, s := range services {
-		for j, held := range s.held {
-			if !contains(s.held[:j], held) {
-				counts[held]++
-			}
-		}
+		s.count(standings)
 	}
-	for held, n := range counts {
-		if n > servable || n == servable && held > name {
+	var best standing
+	for held, st := range standings {
+		if name == "" || st.better(held, best, name) {
 			name = held
-			servable = n
+			best = st
 		}
 	}
-	return name, servable
+	return name, best.services
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
+// count adds a service to the standings of the snapshots that it can serve.
+func (h Holdings) count(standings map[string]standing) {
+	for i, leaf := range h.leafs {
+		for _, name := range leaf {
+			if h.heldBefore(i, name) {
+				continue
+			}
+			st := standings[name]
+			st.services++
+			if 2*h.holders(name) >= len(h.leafs) {
+				st.broad++
+			}
+			standings[name] = st
+		}
+	}
+}
+
+// heldBefore reports whether a leaf before number i holds the snapshot.
+func (h Holdings) heldBefore(i int, name string) bool {
+	for _, leaf := range h.leafs[:i] {
+		if slices.Contains(leaf, name) {
 			return true
 		}
 	}
 	return false
 }
+
+// holders counts the leafs that hold the snapshot.
+func (h Holdings) holders(name string) int {
+	n := 0
+	for _, leaf := range h.leafs {
+		if slices.Contains(leaf, name) {
+			n++
+		}
+	}
+	return n
+}
--- a/core/version/snapshot/snapshot_test.go
+++ b/core/version/snapshot/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -9,26 +10,40 @@
 	"github.com/mulberrydale/mulberrydale/core/version/snapshot"
 )
 
+// holdings reads services of leafs, such as "s1,s2 s1" for two leafs of which
+// the first holds two snapshots.
+func holdings(services ...string) []snapshot.Holdings {
+	var out []snapshot.Holdings
+	for _, s := range services {
+		var leafs [][]string
+		for _, leaf := range strings.Fields(s) {
+			leafs = append(leafs, strings.Split(leaf, ","))
+		}
+		out = append(out, snapshot.NewHoldings(leafs))
+	}
+	return out
+}
+
 func TestChoose(t *testing.T) {
 	tests := []struct {
 		name     string
-		services [][]string
+		services []string
 		want     string
 		servable int
 	}{
-		{"nothing is known", [][]string{nil, nil}, "", 0},
-		{"all the same", [][]string{{"s1"}, {"s1"}}, "s1", 2},
-		{"the newest of equals", [][]string{{"s1", "s2"}, {"s2", "s1"}}, "s2", 2},
-		{"coverage goes before age", [][]string{{"s1", "s2"}, {"s1"}}, "s1", 2},
-		{"leafs of one service count once", [][]string{{"s2", "s2", "s2"}, {"s1"}, {"s1"}}, "s1", 2},
-		{"a service without a usable leaf", [][]string{{"s1"}, nil}, "s1", 1},
+		{"nothing is known", []string{"", ""}, "", 0},
+		{"all the same", []string{"s1", "s1"}, "s1", 2},
+		{"the newest of equals", []string{"s1,s2", "s2,s1"}, "s2", 2},
+		{"coverage goes before age", []string{"s1,s2", "s1"}, "s1", 2},
+		{"coverage goes before breadth", []string{"s2 s1 s1", "s2", "s2"}, "s2", 3},
+		{"leafs of one service count once", []string{"s2 s2 s2", "s1", "s1"}, "s1", 2},
+		{"a service without a usable leaf", []string{"s1", ""}, "s1", 1},
+		{"one leaf of three can't bear the load", []string{"s1,s2 s1 s1", "s1,s2 s1 s1"}, "s1", 2},
+		{"two leafs of three can", []string{"s1,s2 s1,s2 s1", "s1,s2 s2 s1"}, "s2", 2},
+		{"nothing broad is left", []string{"s1 s2 s3"}, "s3", 1},
 	}
 	for _, tt := range tests {
-		var holdings []snapshot.Holdings
-		for _, held := range tt.services {
-			holdings = append(holdings, snapshot.NewHoldings(held))
-		}
-		name, servable := snapshot.Choose(holdings)
+		name, servable := snapshot.Choose(holdings(tt.services...))
 		assert.Equal(t, name, tt.want, tt.name)
 		assert.Equal(t, servable, tt.servable, tt.name)
 	}
@@ -36,8 +51,8 @@
 
 func ExampleChoose() {
 	name, servable := snapshot.Choose([]snapshot.Holdings{
-		snapshot.NewHoldings([]string{"s1", "s2"}),
-		snapshot.NewHoldings([]string{"s1"}),
+		snapshot.NewHoldings([][]string{{"s1", "s2"}, {"s1"}}),
+		snapshot.NewHoldings([][]string{{"s1"}}),
 	})
 	fmt.Println(name, servable)
 	// Output: s1 2
--- a/runner/demo.go
+++ b/runner/demo.go
@@ -39,19 +39,11 @@
 // runDemo starts an installation, applies the declared configuration, sends
 // each declared query, and takes a data centre out and back.
 func runDemo(ctx context.Context, binaries, file string) error {
-	folder, err := os.MkdirTemp("", "mulberrydale-demo-")
-	if err != nil {
-		return errors.Wrap(err, "folder")
-	}
-	defer os.RemoveAll(folder)
-	in, err := installation.New(binaries, folder, file, demoVMs, 1, true)
+	in, end, err := start(ctx, binaries, file)
 	if err != nil {
 		return err
 	}
-	defer in.Close()
-	if err := in.Start(ctx); err != nil {
-		return err
-	}
+	defer end()
 	d := &demo{in: in, caller: driver.NewCaller(), table: tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)}
 	if err := d.play(ctx); err != nil {
 		return err
@@ -66,9 +58,6 @@
 // play runs the acts.
 func (d *demo) play(ctx context.Context) error {
 	vms := d.in.VMs()
-	if err := begin(ctx, d.in); err != nil {
-		return err
-	}
 	time.Sleep(outTime / 2)
 	fmt.Fprintln(d.table, "act\tquery\tvm\tcode\tsnapshot\tcoverage\ttime")
 	d.ask(ctx, "all in", "")
@@ -93,8 +82,35 @@
 	return nil
 }
 
-// begin applies the declared configuration and waits until callers may come.
+// start starts an installation with the declared configuration in force, and
+// returns what ends it.
+func start(ctx context.Context, binaries, file string) (in *installation.Installation, end func(), err error) {
+	folder, err := os.MkdirTemp("", "mulberrydale-")
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "folder")
+	}
+	in, err = installation.New(binaries, folder, file, demoVMs, 1, true)
+	if err != nil {
+		_ = os.RemoveAll(folder)
+		return nil, nil, err
+	}
+	end = func() {
+		in.Close()
+		_ = os.RemoveAll(folder)
+	}
+	if err := begin(ctx, in); err != nil {
+		end()
+		return nil, nil, err
+	}
+	return in, end, nil
+}
+
+// begin starts the processes, applies the declared configuration and waits
+// until callers may come.
 func begin(ctx context.Context, in *installation.Installation) error {
+	if err := in.Start(ctx); err != nil {
+		return err
+	}
 	text, err := in.Ctl(ctx, in.VMs()[0], "--yes", "--reason", "first configuration", "apply", in.File())
 	if err != nil {
 		return err
@@ -105,22 +121,11 @@
 
 // runUp keeps an installation running until ctx ends.
 func runUp(ctx context.Context, binaries, file string) error {
-	folder, err := os.MkdirTemp("", "mulberrydale-up-")
-	if err != nil {
-		return errors.Wrap(err, "folder")
-	}
-	defer os.RemoveAll(folder)
-	in, err := installation.New(binaries, folder, file, demoVMs, 1, true)
+	in, end, err := start(ctx, binaries, file)
 	if err != nil {
 		return err
 	}
-	defer in.Close()
-	if err := in.Start(ctx); err != nil {
-		return err
-	}
-	if err := begin(ctx, in); err != nil {
-		return err
-	}
+	defer end()
 	for _, v := range in.VMs() {
 		fmt.Printf("%s in %s: callers %s, operators %s\n", v.Name(), v.DataCentre(), v.Callers(), v.Operators())
 	}
--- /dev/null
+++ b/runner/installation/cuts.go
@@ -0,0 +1,53 @@
+package installation
+
+import (
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrydale/mulberrydale/runner/proxy"
+)
+
+// proxyAddress is where VM number from dials VM number to.
+func proxyAddress(from, to int) string {
+	return fmt.Sprintf("127.0.0.1:%d", firstProxyPort+from*maxVMs+to)
+}
+
+func (in *Installation) number(v *VM) int { return slices.Index(in.vms, v) }
+
+// openProxies puts a proxy into each link between two VMs.
+func (in *Installation) openProxies() error {
+	in.proxies = make(map[string]*proxy.Proxy)
+	for i, from := range in.vms {
+		for j, to := range in.vms {
+			if i == j {
+				continue
+			}
+			p, err := proxy.New(proxyAddress(i, j), to.peers)
+			if err != nil {
+				return err
+			}
+			in.proxies[from.name+">"+to.name] = p
+		}
+	}
+	return nil
+}
+
+// Cut sets what becomes of the messages from one VM to another.
+func (in *Installation) Cut(from, to *VM, mode proxy.Mode) {
+	in.proxies[from.name+">"+to.name].Set(mode)
+}
+
+// Heal ends all cuts.
+func (in *Installation) Heal() {
+	for _, p := range in.proxies {
+		p.Set(proxy.Pass)
+	}
+}
+
+// LoseDisk removes the data folder of a VM that does not run.
+func (in *Installation) LoseDisk(v *VM) error {
+	return errors.Wrapf(os.RemoveAll(v.folder), "VM %s", v.name)
+}
--- a/runner/scenario/scenarios.go
+++ b/runner/scenario/scenarios.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -71,6 +70,38 @@
 		best = rate
 	}
 	s.atLeast("15-service queries a second of one entry VM", best, 0, 200)
+	return s.costs(ctx)
+}
+
+// costs measures processor time and allocations of a sub-request at half of
+// a usual rate, and what one VM costs at rest.
+func (s *stage) costs(ctx context.Context) error {
+	const rate = 300
+	v := s.in.VMs()[0]
+	var before, after, rest [2]float64
+	names := []string{"process_cpu_seconds_total", "go_memstats_mallocs_total"}
+	steps := []struct {
+		into *[2]float64
+		wait func()
+	}{
+		{&before, func() {}},
+		{&after, func() { s.load(ctx, rate, 5*time.Second) }},
+		{&rest, func() { time.Sleep(5 * time.Second) }},
+	}
+	for _, step := range steps {
+		step.wait()
+		for i, name := range names {
+			n, err := metric(ctx, v.Operators(), name)
+			if err != nil {
+				return err
+			}
+			step.into[i] = n
+		}
+	}
+	const subRequests = rate * 5 * 15
+	s.row("processor time a sub-request, us", 1e6*(after[0]-before[0])/subRequests, 0, 200)
+	s.row("allocations a sub-request", (after[1]-before[1])/subRequests, 0, 200)
+	s.row("processor at rest, part of a core", (rest[0]-after[0])/5, 0, 0.05)
 	return nil
 }
 
@@ -167,123 +198,6 @@
 	return count(answers, func(a driver.Answer) bool { return a.Code()/100 == 2 && reached[a.CallerID()] })
 }
 
-func coldTold(ctx context.Context, s *stage) error { return coldLeaf(ctx, s, "restart-cold", 0) }
-
-func coldUntold(ctx context.Context, s *stage) error {
-	return coldLeaf(ctx, s, "turn-cold-untold", time.Second)
-}
-
-// coldLeaf turns the first leaf of each service cold under load. While it is
-// cold it must not see more than its cold capacity from all VMs together.
-func coldLeaf(ctx context.Context, s *stage, key string, grace time.Duration) error {
-	const rate = 240
-	s.load(ctx, rate, 8*time.Second)
-	if err := s.clear(); err != nil {
-		return err
-	}
-	load := s.start(ctx, rate, 45*time.Second)
-	time.Sleep(3 * time.Second)
-	if err := s.set(firstLeafs, key, "true"); err != nil {
-		return err
-	}
-	at := time.Now()
-	answers := load.wait()
-	records, err := s.journal()
-	if err != nil {
-		return err
-	}
-	cold := func(r record) bool { return r.cold && r.at.After(at.Add(grace)) }
-	s.row("most a cold leaf saw in a second", mostPerSecond(records, cold), 0, 30)
-	s.complete("complete", answers, 0.99)
-	back := since(answers, at.Add(30*time.Second))
-	s.atLeast("share of the turned leafs after 30 s", leafShare(back, "-01"), 1.0/3, 0.9/3)
-	return nil
-}
-
-// leafShare returns the part of the results that leafs with a suffix gave.
-func leafShare(answers []driver.Answer, suffix string) float64 {
-	all := 0
-	n := 0
-	for _, a := range answers {
-		for _, leaf := range a.Leafs() {
-			all++
-			if strings.HasSuffix(leaf, suffix) {
-				n++
-			}
-		}
-	}
-	return float64(n) / float64(max(all, 1))
-}
-
-func centreOut(ctx context.Context, s *stage) error {
-	const rate = 120
-	centre := s.in.Configuration().DataCentres()[0].Name()
-	before := s.load(ctx, rate, 6*time.Second)
-	if err := s.clear(); err != nil {
-		return err
-	}
-	load := s.start(ctx, rate, 30*time.Second)
-	time.Sleep(2 * time.Second)
-	if _, err := s.in.Ctl(ctx, s.vm(1), "out", centre); err != nil {
-		return err
-	}
-	out := time.Now()
-	time.Sleep(8 * time.Second)
-	if err := s.set(centre, "restart-cold", "true"); err != nil {
-		return err
-	}
-	in := time.Now()
-	if _, err := s.in.Ctl(ctx, s.vm(2), "in", centre); err != nil {
-		return err
-	}
-	answers := load.wait()
-	records, err := s.journal()
-	if err != nil {
-		return err
-	}
-	work := ran(records, func(r record) bool {
-		return isSub(r) && s.centreOf(r.leaf) == centre && r.at.After(out.Add(3*time.Second)) && r.at.Before(in)
-	})
-	s.row("sub-requests to the centre from 3 s on", work, 0, 0)
-	s.row("p99, ms", quantile(answers, 0.99), quantile(before, 0.99), 2*quantile(before, 0.99))
-	s.row("answers lost", count(answers, func(a driver.Answer) bool { return a.Err() != nil || a.Code()/100 != 1 }), 0, 0)
-	s.row("most a cold leaf saw in a second", mostPerSecond(records, func(r record) bool { return r.cold }), 0, 30)
-	return nil
-}
-
-func (s *stage) centreOf(leaf string) string {
-	for _, service := range s.in.Configuration().Services() {
-		for _, l := range service.Leafs() {
-			if l.Name() == leaf {
-				return l.DataCentre()
-			}
-		}
-	}
-	return ""
-}
-
-func leavingLeaf(ctx context.Context, s *stage) error {
-	if err := s.set("*", "health-lag-ms", "10000"); err != nil {
-		return err
-	}
-	load := s.start(ctx, 60, 16*time.Second)
-	time.Sleep(2 * time.Second)
-	at := time.Now()
-	if err := s.set(firstLeafs, "leaving", "true"); err != nil {
-		return err
-	}
-	answers := load.wait()
-	records, err := s.journal()
-	if err != nil {
-		return err
-	}
-	s.row("sub-requests to leaving leafs after 3 s", ran(records, func(r record) bool {
-		return isSub(r) && strings.HasSuffix(r.leaf, "-01") && r.at.After(at.Add(3*time.Second))
-	}), 0, 0)
-	s.complete("complete", answers, 0.999)
-	return nil
-}
-
 func connections(ctx context.Context, s *stage) error {
 	dialsBefore, err := s.dials(ctx)
 	if err != nil {
--- a/runner/scenario/stage.go
+++ b/runner/scenario/stage.go
@@ -29,31 +29,6 @@
 	warmTime = 8 * time.Second
 )
 
-// Row is one figure of a scenario.
-type Row struct {
-	Scenario, Deployment, Figure string
-	Value, Baseline, Bound       float64
-	// AtLeast says that the value must reach the bound instead of staying
-	// under it.
-	AtLeast bool
-}
-
-// OK reports whether the value keeps its bound.
-func (r Row) OK() bool {
-	if r.AtLeast {
-		return r.Value >= r.Bound
-	}
-	return r.Value <= r.Bound
-}
-
-// record is one line of the stand-in's journal.
-type record struct {
-	at                            time.Time
-	leaf, operation, caller       string
-	snapshot, outcome, fault, sub string
-	cold                          bool
-}
-
 // stage is a running installation with callers.
 type stage struct {
 	in     *installation.Installation
@@ -116,29 +91,6 @@
 	}
 }
 
-// explain counts the codes and reasons of answers that are not complete.
-func explain(answers []driver.Answer) string {
-	counts := make(map[string]int)
-	for _, a := range answers {
-		if a.Err() != nil {
-			counts["no answer"]++
-			continue
-		}
-		if !complete(a) {
-			counts[fmt.Sprintf("code %d at %s", a.Code(), a.VM())]++
-		}
-		for _, m := range a.Missing() {
-			counts[m[strings.IndexByte(m, ' ')+1:]]++
-		}
-	}
-	var lines []string
-	for what, n := range counts {
-		lines = append(lines, fmt.Sprintf("%s: %d", what, n))
-	}
-	slices.Sort(lines)
-	return fmt.Sprintf("of %d answers: %s", len(answers), strings.Join(lines, ", "))
-}
-
 // vm returns the VM that request i goes to: one after another, but for those
 // that the balancer knows to be away.
 func (s *stage) vm(i int) *installation.VM {
@@ -281,6 +233,8 @@
 			fault: o.String("fault"), sub: o.String("request"), cold: o.Bool("cold"),
 		})
 	}
+	// A record is written at the end of a request and says when it arrived.
+	slices.SortFunc(out, func(a, b record) int { return a.at.Compare(b.at) })
 	return out, errors.Wrap(lines.Err(), "journal")
 }
 
@@ -289,121 +243,9 @@
 	s.in.Close()
 }
 
-// quantile returns a quantile of the times of answers, in milliseconds.
-func quantile(answers []driver.Answer, q float64) float64 {
-	var took []time.Duration
-	for _, a := range answers {
-		if a.Err() == nil {
-			took = append(took, a.Took())
-		}
-	}
-	if len(took) == 0 {
-		return 0
-	}
-	slices.Sort(took)
-	return float64(took[int(q*float64(len(took)-1))].Microseconds()) / 1000
-}
-
-// share returns the part of the answers for which a condition holds.
-func share(answers []driver.Answer, holds func(a driver.Answer) bool) float64 {
-	if len(answers) == 0 {
-		return 0
-	}
-	n := 0
-	for _, a := range answers {
-		if holds(a) {
-			n++
-		}
-	}
-	return float64(n) / float64(len(answers))
-}
-
-func count(answers []driver.Answer, holds func(a driver.Answer) bool) float64 {
-	return share(answers, holds) * float64(len(answers))
-}
-
-func complete(a driver.Answer) bool { return a.Err() == nil && a.Code() == 100 }
-
-func onTime(a driver.Answer) bool {
-	return a.Err() == nil && a.Code()/100 == 1 && a.Took() <= deadline
-}
-
-func late(a driver.Answer) bool { return a.Err() != nil || a.Took() > deadline }
-
-// since keeps the answers to requests that were sent after a time.
-func since(answers []driver.Answer, at time.Time) []driver.Answer {
-	return slices.DeleteFunc(slices.Clone(answers), func(a driver.Answer) bool { return a.SentAt().Before(at) })
-}
-
-// ran counts the records of a journal for which a condition holds.
-func ran(records []record, holds func(r record) bool) float64 {
-	n := 0
-	for _, r := range records {
-		if holds(r) {
-			n++
-		}
-	}
-	return float64(n)
-}
-
-func isSub(r record) bool { return r.operation != "" }
-
-// mostPerSecond returns the most sub-requests that reached one leaf within any
-// second, of those for which a condition holds.
-func mostPerSecond(records []record, holds func(r record) bool) float64 {
-	windows := make(map[string][]time.Time)
-	most := 0
-	for _, r := range records {
-		if !isSub(r) || !holds(r) {
-			continue
-		}
-		w := append(windows[r.leaf], r.at)
-		for r.at.Sub(w[0]) >= time.Second {
-			w = w[1:]
-		}
-		windows[r.leaf] = w
-		most = max(most, len(w))
-	}
-	return float64(most)
-}
-
-// untrue counts the answers whose content the journal contradicts: results of
-// another caller or snapshot, results that no leaf gave, or a coverage that is
-// not that of the results.
-func untrue(answers []driver.Answer, records []record) float64 {
-	gave := make(map[string]bool)
-	for _, r := range records {
-		if r.outcome == "ran" {
-			gave[r.caller+" "+r.leaf+" "+r.snapshot] = true
-		}
-	}
-	n := 0
-	for _, a := range answers {
-		if a.Err() != nil {
-			continue
-		}
-		_, answered := a.Coverage()
-		wrong := answered != len(a.Leafs())
-		for i, leaf := range a.Leafs() {
-			wrong = wrong || a.Callers()[i] != a.CallerID() || a.Taken()[i] != a.Snapshot() ||
-				!gave[a.CallerID()+" "+leaf+" "+a.Snapshot()]
-		}
-		if wrong {
-			n++
-		}
-	}
-	return float64(n)
-}
-
 // firstLeafs returns a pattern of the first leaf of each service.
 const firstLeafs = "*-01"
 
-// JSON returns the row as a JSON line.
-func (r Row) JSON() string {
-	return fmt.Sprintf(`{"scenario":%q,"deployment":%q,"figure":%q,"value":%g,"baseline":%g,"bound":%g,"at-least":%t,"ok":%t}`,
-		r.Scenario, r.Deployment, r.Figure, r.Value, r.Baseline, r.Bound, r.AtLeast, r.OK())
-}
-
 // Run runs the scenarios whose name starts with one of the prefixes against
 // a deployment, and reports the rows of each as soon as it ends.
 func Run(ctx context.Context, binaries, file string, only []string, seed uint64, report func([]Row)) ([]Row, error) {
--- a/standin/fleet/answer.go
+++ b/standin/fleet/answer.go
@@ -28,12 +28,13 @@
 }
 
 // answer sends the result, spoiled where a fault is drawn.
-func (l *Leaf) answer(w http.ResponseWriter, r *http.Request, caller, snapshot string, took time.Duration) {
+func (l *Leaf) answer(w http.ResponseWriter, r *http.Request, began time.Time, caller, snapshot string) {
+	took := time.Since(began)
 	l.mu.Lock()
 	fault := l.drawFault()
 	l.reportHeaders(w.Header(), l.state())
 	l.mu.Unlock()
-	l.record(r, caller, snapshot, Ran, fault)
+	l.record(r, began, caller, snapshot, Ran, fault)
 	id := r.Header.Get("Request-Id")
 	body := fmt.Sprintf(`[{"leaf":%s,"caller":%s,"snapshot":%s,"took-us":%d}]`, quote(l.name), quote(caller), quote(snapshot), took.Microseconds())
 	switch fault {
@@ -90,12 +91,13 @@
 	return ""
 }
 
-func (l *Leaf) record(r *http.Request, caller, snapshot, outcome, fault string) {
+// record notes what became of a sub-request that arrived at a time.
+func (l *Leaf) record(r *http.Request, at time.Time, caller, snapshot, outcome, fault string) {
 	l.mu.Lock()
 	cold := l.cold
 	l.mu.Unlock()
 	l.journal.add(Record{
-		at:        time.Now(),
+		at:        at,
 		leaf:      l.name,
 		operation: r.Header.Get("Operation"),
 		request:   r.Header.Get("Request-Id"),
--- a/standin/fleet/leaf.go
+++ b/standin/fleet/leaf.go
@@ -148,7 +148,7 @@
 // beSilent holds a request without an answer until the client gives up.
 func (l *Leaf) beSilent(r *http.Request) {
 	if strings.HasPrefix(r.URL.Path, "/run/") {
-		l.record(r, "", "", Silenced, "silent")
+		l.record(r, time.Now(), "", "", Silenced, "silent")
 	}
 	// Reading the body lets the server notice that the client has gone.
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxParameterBytes))
@@ -194,16 +194,16 @@
 	caller := callerID(body)
 	snapshot, refusal := l.admit(r.Header.Get("Snapshot"))
 	if refusal != "" {
-		l.record(r, caller, snapshot, refusal, "")
+		l.record(r, began, caller, snapshot, refusal, "")
 		l.refuse(w, r, refusal)
 		return
 	}
 	if !l.work(r.Context(), deadlineOf(r)) {
-		l.record(r, caller, snapshot, Abandoned, "")
+		l.record(r, began, caller, snapshot, Abandoned, "")
 		l.refuse(w, r, Shed)
 		return
 	}
-	l.answer(w, r, caller, snapshot, time.Since(began))
+	l.answer(w, r, began, caller, snapshot)
 }
 
 // admit decides whether a request runs, and on which snapshot.
