Slow responses of a warming target count towards a cold turn

Cause: at 27 queries a second a VM's allowance outgrows its demand and the target stays warming for good; the jump in latency was looked at in warm targets only, so an untold turn was never noticed. The test is red without the change (warming instead of cold).

--- a/core/process/target/outcome.go
+++ b/core/process/target/outcome.go
@@ -59,7 +59,7 @@
 		t.usual = took
 		return false
 	}
-	if t.state == Warm && took > latencyJump*t.usual && took > siblingJump*t.siblingTime() {
+	if t.state != Cold && took > latencyJump*t.usual && took > siblingJump*t.siblingTime() {
 		t.jumps++
 		if t.full(now) {
 			t.jumps += fullJump - 1
--- a/core/process/target/target_test.go
+++ b/core/process/target/target_test.go
@@ -165,6 +165,19 @@
 	}
 }
 
+func TestSlowResponsesOfAWarmingTargetCount(t *testing.T) {
+	_, targets := newTestTable()
+	x := targets[0]
+	x.Probed(report("life-1", leaf.SaysWarm), nil, began)
+	drive(x, began, time.Second, 100, func() leaf.Outcome { return answered("life-1", leaf.SaysWarm) })
+	expectState(t, x, Warming)
+	for range jumpsInRow {
+		x.inFlight++
+		x.Settle(answered("life-1", leaf.SaysWarm), 90*time.Millisecond, began.Add(time.Second))
+	}
+	expectState(t, x, Cold)
+}
+
 func TestNoMoreThanAThirdIsTakenForCold(t *testing.T) {
 	_, targets := newTestTable()
 	for _, x := range targets {
