--- a/runner/scenario/scenarios.go
+++ b/runner/scenario/scenarios.go
@@ -101,7 +101,7 @@
 	const subRequests = rate * 5 * 15
 	s.row("processor time a sub-request, us", 1e6*(after[0]-before[0])/subRequests, 0, 200)
 	s.row("allocations a sub-request", (after[1]-before[1])/subRequests, 0, 200)
-	s.row("processor at rest, part of a core", (rest[0]-after[0])/5, 0, 0.05)
+	s.row("processor at rest, part of a core", (rest[0]-after[0])/5, 0, 0.025)
 	return nil
 }
 
