--- a/core/process/journal/journal.go
+++ b/core/process/journal/journal.go
@@ -120,9 +120,6 @@
 	return nil
 }
 
-// Size returns the length of the journal in bytes.
-func (j *Journal) Size() int64 { return j.size }
-
 // Append writes records and syncs them together. After an error the journal
 // must not be used any more: nobody knows what is on the disk.
 func (j *Journal) Append(records [][]byte) error {
--- a/core/process/membership/membership.go
+++ b/core/process/membership/membership.go
@@ -38,9 +38,6 @@
 // DataCentre returns the data centre of the VM.
 func (v VM) DataCentre() string { return v.centre }
 
-// HeardAt returns when the VM was last heard, zero for never.
-func (v VM) HeardAt() time.Time { return v.heardAt }
-
 // Beat returns what the VM last said.
 func (v VM) Beat() peer.Beat { return v.beat }
 
--- a/core/process/replica/node.go
+++ b/core/process/replica/node.go
@@ -118,9 +118,6 @@
 	n.resetElection(now)
 }
 
-// Self returns the replica itself.
-func (n *Node) Self() Member { return n.self }
-
 // Role returns what the replica does at present.
 func (n *Node) Role() Role { return n.role }
 
@@ -133,9 +130,6 @@
 // Commit returns the last index that is committed.
 func (n *Node) Commit() uint64 { return n.commit }
 
-// LastIndex returns the last index of the log.
-func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
-
 // Voters returns the latest set of voters.
 func (n *Node) Voters() Voters {
 	voters, _ := n.log.voters()
--- a/core/process/replica/repair.go
+++ b/core/process/replica/repair.go
@@ -59,12 +59,3 @@
 	term, ok := n.log.term(n.commit)
 	return at <= n.commit && ok && term == n.hard.term
 }
-
-// Learners returns the replicas that are being brought up to date.
-func (n *Node) Learners() []Member {
-	var out []Member
-	for _, m := range n.learners {
-		out = append(out, m)
-	}
-	return out
-}
--- a/core/process/replica/state.go
+++ b/core/process/replica/state.go
@@ -57,9 +57,6 @@
 // Trail returns the attempts at changes.
 func (s *State) Trail() *audit.Trail { return s.trail }
 
-// Claims returns the number of request ids that are kept.
-func (s *State) Claims() int { return s.claims.Len() }
-
 // Apply takes in a committed command.
 func (s *State) Apply(c Command) Outcome {
 	switch c := c.(type) {
