--- a/core/process/entry/prober.go
+++ b/core/process/entry/prober.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// probeInterval is the time between two probes of a target.
-	probeInterval = time.Second
+	// probeInterval is the time between two probes of a target that may not
+	// receive queries, and healthyInterval of one that may.
+	probeInterval   = time.Second
+	healthyInterval = 2 * time.Second
 	// probeTimeout bounds one probe.
 	probeTimeout = 500 * time.Millisecond
 	// newTargets is how often the table is looked through for new targets.
@@ -82,7 +84,11 @@
 		}
 		p.count++
 		p.once(ctx)
-		wait := probeInterval*3/4 + rand.N(probeInterval/2)
+		interval := probeInterval
+		if len(p.target.Holdings()) > 0 {
+			interval = healthyInterval
+		}
+		wait := interval*3/4 + rand.N(interval/2)
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
