One piece of code where the same logic stood twice

Found by reading the whole change once more; behaviour stays, but for one count. - A sub-request is sent, settled, counted and its connections renewed in one method, exchange; the query's worker and the non-idempotent request each had their own. A withheld sub-request no longer counts as sent. - The room for results follows fanout.MaxAttempts; a second constant of the same value would have blocked workers once the two differed. - audit.Since serves the trail and mulberryctl, which had written it again; Voters.Has serves the gauge; CentreOf serves the demonstration and the scenarios; slices.Contains replaces five loops. - A target's fall and its new life reset the same fields in one place. - Dead: a gauge that nothing updated. Misplaced: the gauge of dials, in the function that limits an isolated VM. Left: the two codecs of replica and peer look alike and map different values.

--- a/core/process/audit/audit.go
+++ b/core/process/audit/audit.go
@@ -82,9 +82,9 @@
 
 // Since returns the accepted changes that came after a version, for the
 // operator who lost a race.
-func (t *Trail) Since(version uint64) []Record {
+func Since(records []Record, version uint64) []Record {
 	var out []Record
-	for _, r := range t.Records() {
+	for _, r := range records {
 		if r.code == result.ChangeAccepted && r.version > version {
 			out = append(out, r)
 		}
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -63,7 +63,7 @@
 	leads     bool
 	term      uint64
 	commit    uint64
-	voters    []replica.Member
+	voters    replica.Voters
 	version   uint64
 	document  []byte
 	quorumAge time.Duration
@@ -89,7 +89,7 @@
 func (s Status) Commit() uint64 { return s.commit }
 
 // Voters returns the members that elect and acknowledge.
-func (s Status) Voters() []replica.Member { return s.voters }
+func (s Status) Voters() replica.Voters { return s.voters }
 
 // Version returns the accepted configuration version, 0 for none.
 func (s Status) Version() uint64 { return s.version }
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -170,7 +170,7 @@
 		leads:     c.node.Role() == replica.Leader,
 		term:      c.node.Term(),
 		commit:    c.node.Commit(),
-		voters:    c.node.Voters().Members(),
+		voters:    c.node.Voters(),
 		version:   c.state.Version(),
 		document:  c.state.Document(),
 		quorumAge: c.node.QuorumAge(now),
--- a/core/process/entry/counters.go
+++ b/core/process/entry/counters.go
@@ -12,7 +12,7 @@
 
 // counters are the entry role's metrics.
 type counters struct {
-	answers   tally.Scope
+	unwritten tally.Counter
 	seconds   tally.Histogram
 	missing   tally.Counter
 	sent      tally.Counter
@@ -21,12 +21,11 @@
 	unusable  tally.Counter
 	failed    tally.Counter
 	byCode    map[result.Code]tally.Counter
-	callsOpen tally.Gauge
 }
 
 func newCounters(scope tally.Scope) *counters {
 	c := &counters{
-		answers:   scope,
+		unwritten: scope.Counter("answers_unwritten"),
 		seconds:   scope.Histogram("answer_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
 		missing:   scope.Counter("services_missing"),
 		sent:      scope.Counter("sub_requests"),
@@ -34,7 +33,6 @@
 		refused:   scope.Counter("sub_requests_refused"),
 		unusable:  scope.Counter("sub_requests_unusable"),
 		failed:    scope.Counter("sub_requests_failed"),
-		callsOpen: scope.Gauge("requests_running"),
 		byCode:    make(map[result.Code]tally.Counter),
 	}
 	for _, row := range result.Table() {
--- a/core/process/entry/entry.go
+++ b/core/process/entry/entry.go
@@ -164,7 +164,7 @@
 	}
 	w.WriteHeader(statusOf(answer.Code()))
 	if err := answer.From(e.vm).Encode(w); err != nil {
-		e.counters.answers.Counter("answers_unwritten").Inc(1)
+		e.counters.unwritten.Inc(1)
 	}
 }
 
--- a/core/process/entry/once.go
+++ b/core/process/entry/once.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/leaf"
-	"github.com/mulberrydale/mulberrydale/core/process/membership"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
 	"github.com/mulberrydale/mulberrydale/core/request/claim"
 	"github.com/mulberrydale/mulberrydale/core/request/coverage"
@@ -55,15 +54,12 @@
 	if !ok {
 		return query.NewRefusal(request, result.New(result.UnknownQuery, "no non-idempotent request %q is declared", request.Name()))
 	}
-	allowed := request.Deadline()
-	if allowed == 0 {
-		allowed = declared.deadline
-	}
+	deadline := began.Add(allowedTime(request, declared.deadline))
 	// A caller that hangs up does not stop a request that may have left.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(allowed))
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	if request.ID() == "" {
-		return e.sendOnce(ctx, version, declared, request, began.Add(allowed))
+		return e.sendOnce(ctx, version, declared, request, deadline)
 	}
 	holder := e.nextID()
 	outcome, err := e.claimer.Claim(ctx, claimID(request), holder, declared.keepIDs)
@@ -81,7 +77,7 @@
 	case claim.Full:
 		return query.NewRefusal(request, result.New(result.NoClaim, "no more request ids can be kept"))
 	}
-	answer := e.sendOnce(ctx, version, declared, request, began.Add(allowed))
+	answer := e.sendOnce(ctx, version, declared, request, deadline)
 	var body []byte
 	if len(answer.Results()) > 0 {
 		body = answer.Results()[0].Value()
@@ -115,15 +111,7 @@
 		return query.NewRefusal(request, err)
 	}
 	sub := leaf.NewRequest(e.nextID(), s.name, request.Name(), "", request.Parameters(), deadline).Once()
-	began := time.Now()
-	if e.gate.Freshness(e.Version(), began) == membership.Stale {
-		t.Settle(leaf.Withheld{}, 0, began)
-		return query.NewRefusal(request, unconfirmed())
-	}
-	outcome := t.Pool().Run(ctx, sub, began)
-	now := time.Now()
-	t.Settle(outcome, now.Sub(began), now)
-	e.counters.settled(outcome)
+	outcome, _ := e.exchange(ctx, t, sub)
 	switch o := outcome.(type) {
 	case leaf.Answered:
 		results := []query.Result{query.NewResult(s.name, o.Body())}
@@ -134,10 +122,9 @@
 		if !o.Sent() {
 			return query.NewRefusal(request, result.New(result.NoTarget, "no connection to target %s", t.Name()))
 		}
-		if o.Silent() {
-			t.Pool().Renew(now, renewInterval)
-		}
-	case leaf.Unusable, leaf.Withheld:
+	case leaf.Withheld:
+		return query.NewRefusal(request, unconfirmed())
+	case leaf.Unusable:
 	}
 	return query.NewRefusal(request, result.New(result.OutcomeUnknown, "target %s gave no usable answer", t.Name()))
 }
--- a/core/process/entry/query.go
+++ b/core/process/entry/query.go
@@ -16,9 +16,6 @@
 // out not to hold the snapshot.
 const maxPlans = 2
 
-// attemptsRoom is the most sub-requests of one service in one plan.
-const attemptsRoom = 4
-
 // queryRun is one query on its way through this VM.
 type queryRun struct {
 	entry    *Entry
@@ -41,10 +38,7 @@
 	if !ok {
 		return query.NewRefusal(request, result.New(result.UnknownQuery, "no query %q is declared", request.Name()))
 	}
-	allowed := request.Deadline()
-	if allowed == 0 {
-		allowed = declared.deadline
-	}
+	allowed := allowedTime(request, declared.deadline)
 	if wait, response := declared.expected(began); !admission.Admits(wait, response, allowed) {
 		return query.NewRefusal(request, result.New(result.Overloaded, "the wait would be %d ms of %d ms", wait.Milliseconds(), allowed.Milliseconds()))
 	}
@@ -66,11 +60,20 @@
 	return run.answer()
 }
 
+// allowedTime returns the caller's deadline, or the declared one where the
+// caller named none.
+func allowedTime(request query.Request, declared time.Duration) time.Duration {
+	if request.Deadline() > 0 {
+		return request.Deadline()
+	}
+	return declared
+}
+
 // plan pins the snapshot and the services for what follows.
 func (r *queryRun) plan(name string, now, deadline time.Time) {
 	r.dir = newDirectory(r.declared.services, r.entry.hedges, name, deadline)
 	r.state = fanout.New(fanout.NewPlan(r.declared.names, name, now, deadline))
-	r.flight = newFlight(deadline, attemptsRoom*len(r.declared.services))
+	r.flight = newFlight(deadline, fanout.MaxAttempts*len(r.declared.services))
 }
 
 // loop drives the query's decisions until the answer may go out.
--- a/core/process/entry/subrequest.go
+++ b/core/process/entry/subrequest.go
@@ -54,31 +54,31 @@
 // execute sends the sub-request, settles its target and reports to the query.
 func (s *subRequest) execute() {
 	defer s.flight.release()
-	began := time.Now()
-	outcome := s.send(began)
-	now := time.Now()
-	took := now.Sub(began)
-	s.target.Settle(outcome, took, now)
-	s.entry.counters.settled(outcome)
-	switch o := outcome.(type) {
-	case leaf.Answered:
+	outcome, took := s.entry.exchange(s.flight.ctx, s.target, s.request)
+	if _, answered := outcome.(leaf.Answered); answered {
 		s.service.latency.Add(took)
-	case leaf.Failed:
-		if o.Silent() {
-			s.target.Pool().Renew(now, renewInterval)
-		}
-	case leaf.Refused, leaf.Unusable, leaf.Withheld:
 	}
 	s.flight.results <- fanout.NewResult(s.attempt, outcome)
 }
 
-// send sends the sub-request unless this VM's knowledge is stale at this very
-// moment, as it is after the process was frozen.
-func (s *subRequest) send(now time.Time) leaf.Outcome {
-	if s.entry.gate.Freshness(s.entry.Version(), now) == membership.Stale {
-		return leaf.Withheld{}
+// exchange sends a sub-request to an acquired target and settles the target. It
+// is withheld where this VM's knowledge is stale at this very moment, as it is
+// after the process was frozen.
+func (e *Entry) exchange(ctx context.Context, t *target.Target, request leaf.Request) (outcome leaf.Outcome, took time.Duration) {
+	began := time.Now()
+	if e.gate.Freshness(e.Version(), began) == membership.Stale {
+		t.Settle(leaf.Withheld{}, 0, began)
+		return leaf.Withheld{}, 0
+	}
+	outcome = t.Pool().Run(ctx, request, began)
+	now := time.Now()
+	took = now.Sub(began)
+	t.Settle(outcome, took, now)
+	e.counters.settled(outcome)
+	if failed, ok := outcome.(leaf.Failed); ok && failed.Sent() && failed.Silent() {
+		t.Pool().Renew(now, renewInterval)
 	}
-	return s.target.Pool().Run(s.flight.ctx, s.request, now)
+	return outcome, took
 }
 
 // nextID returns an id that no other sub-request of this process has.
--- a/core/process/replica/repair.go
+++ b/core/process/replica/repair.go
@@ -1,11 +1,14 @@
 package replica
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // stepJoin takes a replica with an empty log as a learner. It receives the log
 // and counts for nothing until a committed change makes it a voter.
 func (n *Node) stepJoin(m Join, now time.Time) {
-	if n.role != Leader || m.member.vm == n.self.vm || !n.isNamed(m.member.vm) || n.Voters().Has(m.member.id) {
+	if n.role != Leader || m.member.vm == n.self.vm || !slices.Contains(n.named, m.member.vm) || n.Voters().Has(m.member.id) {
 		return
 	}
 	for id, other := range n.learners {
@@ -22,15 +25,6 @@
 	n.sendAppend(m.member, now, true)
 }
 
-func (n *Node) isNamed(vm string) bool {
-	for _, name := range n.named {
-		if name == vm {
-			return true
-		}
-	}
-	return false
-}
-
 // promote makes a learner that has caught up a voter: first the lost life of
 // its VM is removed, then the learner is added, one committed change each.
 func (n *Node) promote(m Member, now time.Time) {
--- a/core/process/target/choose.go
+++ b/core/process/target/choose.go
@@ -1,6 +1,9 @@
 package target
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Choice is the answer to the question which target to use: Chosen, Wait or
 // None.
@@ -50,7 +53,7 @@
 	candidates := make([]candidate, 0, len(targets))
 	reason := NoUsable
 	for _, t := range targets {
-		if contains(excluded, t.Name()) {
+		if slices.Contains(excluded, t.Name()) {
 			continue
 		}
 		usable, holds, score := t.rate(snapshot, now)
@@ -138,12 +141,3 @@
 	t.inFlight++
 	return true, now
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
--- a/core/process/target/target.go
+++ b/core/process/target/target.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,15 +149,7 @@
 // holds reports whether the leaf said that it holds the snapshot. A leaf that
 // has said nothing may hold it.
 func (t *Target) holds(snapshot string) bool {
-	if snapshot == "" || len(t.snapshots) == 0 {
-		return true
-	}
-	for _, held := range t.snapshots {
-		if held == snapshot {
-			return true
-		}
-	}
-	return false
+	return snapshot == "" || len(t.snapshots) == 0 || slices.Contains(t.snapshots, snapshot)
 }
 
 // score is how busy the target is, in slots: lower is better.
@@ -214,10 +207,16 @@
 		return
 	}
 	t.startID = startID
-	t.saysWarm = false
 	t.doubtedUntil.Store(0)
 	t.move(eventRestart, now)
+	t.reset(now)
+}
+
+// reset forgets what was learned of a life that is over or was not as warm as
+// it seemed.
+func (t *Target) reset(now time.Time) {
 	t.bornAt = now
+	t.saysWarm = false
 	t.ramp = newRamp(t.coldShare, now)
 	t.sheds = 0
 	t.jumps = 0
@@ -318,13 +317,8 @@
 // the target while it passed for warm has used up the first allowance.
 func (t *Target) turnedCold(now time.Time) {
 	t.move(eventFall, now)
-	t.bornAt = now
-	t.saysWarm = false
-	t.ramp = newRamp(t.coldShare, now)
+	t.reset(now)
 	t.ramp.exhaust(now)
-	t.sheds = 0
-	t.jumps = 0
-	t.usual = 0
 }
 
 // mayRamp reports whether the allowance may grow: the leaf says that it is
--- a/core/request/fanout/state.go
+++ b/core/request/fanout/state.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxAttempts bounds the attempts for one service of a query.
-	maxAttempts = 4
+	// MaxAttempts bounds the attempts for one service of a query.
+	MaxAttempts = 4
 	// neverRetry is how long to wait before a service without a usable target
 	// is looked at again; a probe may have found one meanwhile.
 	neverRetry = 10 * time.Millisecond
@@ -168,7 +168,7 @@
 // ask sends the next attempt of a part, or sets the time to ask again.
 func (s *State) ask(i int, now time.Time, dir Directory, sends []Send) []Send {
 	p := &s.parts[i]
-	if p.sent >= maxAttempts || !now.Before(s.plan.returnAt) {
+	if p.sent >= MaxAttempts || !now.Before(s.plan.returnAt) {
 		p.askAt = s.plan.returnAt
 		return sends
 	}
@@ -203,7 +203,7 @@
 func (s *State) hedge(i int, now time.Time, dir Directory, sends []Send) []Send {
 	p := &s.parts[i]
 	p.hedgeAt = now.Add(dir.HedgeDelay(i))
-	if p.sent >= maxAttempts {
+	if p.sent >= MaxAttempts {
 		return sends
 	}
 	acquired, ok := dir.Choose(i, Hedge, p.tried, now).(Acquired)
--- a/core/version/document/object.go
+++ b/core/version/document/object.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -168,7 +169,7 @@
 func (o *Object) Done() {
 	var unknown []string
 	for name := range o.members {
-		if !o.isKnown(name) {
+		if !slices.Contains(o.known, name) {
 			unknown = append(unknown, name)
 		}
 	}
@@ -179,17 +180,8 @@
 	}
 }
 
-func (o *Object) isKnown(name string) bool {
-	for _, known := range o.known {
-		if known == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (o *Object) lookup(key string) *hujson.Value {
-	if !o.isKnown(key) {
+	if !slices.Contains(o.known, key) {
 		o.known = append(o.known, key)
 	}
 	return o.members[key]
--- a/mulberryctl/tool.go
+++ b/mulberryctl/tool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/operator"
+	"github.com/mulberrydale/mulberrydale/core/process/audit"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/configuration"
 	"github.com/mulberrydale/mulberrydale/mulberryctl/console"
@@ -94,10 +95,8 @@
 	if err != nil {
 		return
 	}
-	for _, r := range records {
-		if r.Version() > version && r.Code() == result.ChangeAccepted {
-			t.out.Audit(r)
-		}
+	for _, r := range audit.Since(records, version) {
+		t.out.Audit(r)
 	}
 }
 
--- a/mulberrydale/settings/settings.go
+++ b/mulberrydale/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -72,12 +73,7 @@
 
 // IsControl reports whether this VM keeps the replicated log.
 func (s Settings) IsControl() bool {
-	for _, name := range s.controlVMs {
-		if name == s.vm {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(s.controlVMs, s.vm)
 }
 
 // Read reads and checks a settings file.
--- a/mulberrydale/vm/loops.go
+++ b/mulberrydale/vm/loops.go
@@ -83,6 +83,7 @@
 			l.vm.beat(now)
 		}
 		l.vm.limitToHeard(now)
+		l.vm.showDials()
 	}
 }
 
@@ -106,10 +107,8 @@
 // showVoter publishes whether this replica counts in the log.
 func (v *VM) showVoter(s control.Status) {
 	counts := 0.0
-	for _, m := range s.Voters() {
-		if m.ID() == s.Member().ID() && s.Founded() {
-			counts = 1
-		}
+	if s.Voters().Has(s.Member().ID()) {
+		counts = 1
 	}
 	v.voter.Update(counts)
 }
@@ -145,9 +144,15 @@
 	isolated := v.view.Freshness(v.current().version, now) == membership.Isolated
 	heard := v.view.Centres(now)
 	heard[v.settings.DataCentre()] = true
-	dials := int64(0)
 	for _, t := range v.table.Targets() {
 		t.SetHeard(!isolated || heard[t.DataCentre()])
+	}
+}
+
+// showDials publishes the connections opened to targets so far.
+func (v *VM) showDials() {
+	dials := int64(0)
+	for _, t := range v.table.Targets() {
 		dials += t.Pool().Dials()
 	}
 	v.dials.Update(float64(dials))
--- a/runner/demo.go
+++ b/runner/demo.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrydale/mulberrydale/core/result"
-	"github.com/mulberrydale/mulberrydale/core/version/configuration"
 	"github.com/mulberrydale/mulberrydale/runner/driver"
 	"github.com/mulberrydale/mulberrydale/runner/installation"
 )
@@ -173,13 +172,13 @@
 	d.sent++
 	asked, answered := a.Coverage()
 	fmt.Fprintf(d.table, "%s\t%s\t%s\t%d\t%s\t%d/%d\t%.1f ms\n", act, query, vm, a.Code(), a.Snapshot(), answered, asked, float64(a.Took().Microseconds())/1000)
-	for _, fault := range faults(d.in.Configuration(), out, deadline, a) {
+	for _, fault := range faults(d.in, out, deadline, a) {
 		d.wrong = append(d.wrong, fmt.Sprintf("%s %s at %s: %s", act, query, vm, fault))
 	}
 }
 
 // faults returns what is wrong with an answer.
-func faults(cfg configuration.Configuration, out string, deadline time.Duration, a driver.Answer) []string {
+func faults(in *installation.Installation, out string, deadline time.Duration, a driver.Answer) []string {
 	var list []string
 	if a.Err() != nil {
 		return []string{a.Err().Error()}
@@ -196,7 +195,7 @@
 		list = append(list, fmt.Sprintf("took %v", a.Took()))
 	}
 	for i, leaf := range a.Leafs() {
-		if out != "" && centreOf(cfg, leaf) == out {
+		if out != "" && in.CentreOf(leaf) == out {
 			list = append(list, fmt.Sprintf("leaf %s is in %s, which is out", leaf, out))
 		}
 		if a.Callers()[i] != a.CallerID() {
@@ -209,17 +208,6 @@
 	return list
 }
 
-func centreOf(cfg configuration.Configuration, leaf string) string {
-	for _, s := range cfg.Services() {
-		for _, l := range s.Leafs() {
-			if l.Name() == leaf {
-				return l.DataCentre()
-			}
-		}
-	}
-	return ""
-}
-
 func lastLine(text string) string {
 	lines := strings.Split(strings.TrimSpace(text), "\n")
 	return lines[len(lines)-1]
--- a/runner/installation/installation.go
+++ b/runner/installation/installation.go
@@ -152,6 +152,18 @@
 // Configuration returns the declared configuration.
 func (in *Installation) Configuration() configuration.Configuration { return in.cfg }
 
+// CentreOf returns the data centre of a leaf, empty where it is not declared.
+func (in *Installation) CentreOf(leaf string) string {
+	for _, s := range in.cfg.Services() {
+		for _, l := range s.Leafs() {
+			if l.Name() == leaf {
+				return l.DataCentre()
+			}
+		}
+	}
+	return ""
+}
+
 // VMs returns the entry VMs.
 func (in *Installation) VMs() []*VM { return in.vms }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -27,7 +27,7 @@
 	f := &Fleet{journal: &Journal{}, vms: &vmList{}}
 	for _, s := range cfg.Services() {
 		for _, l := range s.Leafs() {
-			f.leafs = append(f.leafs, newLeaf(l.Name(), l.DataCentre(), s, f.journal, seed, warm))
+			f.leafs = append(f.leafs, newLeaf(l, s, f.journal, seed, warm))
 		}
 	}
 	return f
@@ -44,13 +44,7 @@
 }
 
 func (f *Fleet) listen(l *Leaf) error {
-	var address string
-	for _, declared := range l.service.Leafs() {
-		if declared.Name() == l.name {
-			address = declared.Address()
-		}
-	}
-	socket, err := net.Listen("tcp", address)
+	socket, err := net.Listen("tcp", l.address)
 	if err != nil {
 		return errors.Wrapf(err, "leaf %s", l.name)
 	}
--- a/standin/fleet/leaf.go
+++ b/standin/fleet/leaf.go
@@ -36,6 +36,7 @@
 	name    string
 	service configuration.Service
 	centre  string
+	address string
 	journal *Journal
 	slots   chan struct{}
 
@@ -62,14 +63,15 @@
 	state string
 }
 
-func newLeaf(name, centre string, service configuration.Service, journal *Journal, seed uint64, warm bool) *Leaf {
+func newLeaf(declared configuration.Leaf, service configuration.Service, journal *Journal, seed uint64, warm bool) *Leaf {
 	l := &Leaf{
-		name:      name,
-		centre:    centre,
+		name:      declared.Name(),
+		centre:    declared.DataCentre(),
+		address:   declared.Address(),
 		service:   service,
 		journal:   journal,
 		slots:     make(chan struct{}, service.Limits().Slots()),
-		rng:       rand.New(rand.NewPCG(seed, hash(name))),
+		rng:       rand.New(rand.NewPCG(seed, hash(declared.Name()))),
 		behaviour: newBehaviour(),
 		warmFor:   service.Limits().WarmUp(),
 		silentOld: make(map[string]bool),
