--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -1,6 +1,9 @@
 package peer
 
-import "github.com/mulberrydale/mulberrydale/core/connection/frame"
+import (
+	"github.com/mulberrydale/mulberrydale/core/connection/frame"
+	"github.com/mulberrydale/mulberrydale/core/process/replica"
+)
 
 // Kinds of messages on the wire.
 const (
@@ -11,6 +14,10 @@
 	wireForward
 	wireReply
 	wireNews
+	wirePresence
+	wirePublished
+	wireRead
+	wireTargetList
 )
 
 // Encode writes a message as the payload of a frame.
@@ -44,6 +51,18 @@
 	case News:
 		enc.Uint(wireNews)
 		encodeNews(enc, m)
+	case Presence:
+		enc.Uint(wirePresence)
+		encodePresence(enc, m)
+	case Published:
+		enc.Uint(wirePublished)
+		replica.EncodeRoutes(enc, m.routes)
+	case Read:
+		enc.Uint(wireRead)
+		enc.Uint(m.number)
+	case TargetList:
+		enc.Uint(wireTargetList)
+		encodeTargetList(enc, m)
 	}
 	return enc.Payload()
 }
@@ -67,6 +86,14 @@
 		out = Reply{number: dec.Uint(), payload: dec.Bytes()}
 	case wireNews:
 		out = decodeNews(dec)
+	case wirePresence:
+		out = decodePresence(dec)
+	case wirePublished:
+		out = Published{routes: replica.DecodeRoutes(dec)}
+	case wireRead:
+		out = Read{number: dec.Uint()}
+	case wireTargetList:
+		out = decodeTargetList(dec)
 	default:
 		dec.Fail("an unknown kind of message")
 	}
--- a/core/connection/peer/message.go
+++ b/core/connection/peer/message.go
@@ -5,7 +5,7 @@
 import "time"
 
 // Message is what processes send each other: Hello, Beat, Replicate, Push,
-// Forward, Reply or News.
+// Forward, Reply, News, Presence, Published, Read or TargetList.
 type Message interface{ message() }
 
 // Hello is the first message of each connection.
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/frame"
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/replica"
 )
 
 var messages = []peer.Message{
@@ -24,6 +26,13 @@
 	peer.NewForward(5, []byte{3}),
 	peer.NewReply(5, nil),
 	peer.NewNews([]peer.Item{peer.NewItem("l-1", "life-1", "warm", time.Second, 3.5)}),
+	peer.NewPresence("vm-1", "10.0.0.1:7", "dc-1", "s", 9).WithReplica("r", true, "10.0.0.2:7").
+		WithMembers([]string{"10.0.0.1:7"}, 4).WithListAge(time.Second),
+	peer.NewPublished(replica.NewRoutes(2, 7, []byte("{}"), []string{"dc-2"})),
+	peer.NewRead(6),
+	peer.NewTargetList(true, time.Second, discovery.NewDifference([]discovery.Instance{
+		discovery.NewInstance("i-1", "s-1", "10.0.0.9:8", "dc-1", 2).WithLeaving(true).WithColdFor(time.Second),
+	}, []string{"i-2"})),
 }
 
 func TestMessagesComeBack(t *testing.T) {
--- /dev/null
+++ b/core/connection/peer/presence.go
@@ -0,0 +1,133 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/replica"
+)
+
+// Presence says that a process lives, where it can be reached and what it
+// knows. It is the first message of a session and is repeated.
+type Presence struct {
+	vm       string
+	address  string
+	centre   string
+	startID  string
+	revision uint64
+	controls []string
+	entryVMs int
+	leader   string
+	// replicaID is empty where the sender keeps no log.
+	replicaID string
+	founded   bool
+	hasList   bool
+	listAge   time.Duration
+}
+
+// NewPresence returns the presence of a process at a revision of the routes.
+// The address is where control VMs listen for sessions, empty for others.
+func NewPresence(vm, address, centre, startID string, revision uint64) Presence {
+	return Presence{vm: vm, address: address, centre: centre, startID: startID, revision: revision}
+}
+
+// WithReplica returns the presence with what the sender's replica says.
+func (p Presence) WithReplica(id string, founded bool, leader string) Presence {
+	p.replicaID = id
+	p.founded = founded
+	p.leader = leader
+	return p
+}
+
+// WithMembers returns the presence with the control VMs that the sender knows
+// and the number of entry VMs that it hears.
+func (p Presence) WithMembers(controls []string, entryVMs int) Presence {
+	p.controls = controls
+	p.entryVMs = entryVMs
+	return p
+}
+
+// WithListAge returns the presence with the age of the sender's target list.
+func (p Presence) WithListAge(age time.Duration) Presence {
+	p.hasList = true
+	p.listAge = age
+	return p
+}
+
+// VM returns the name of the sender.
+func (p Presence) VM() string { return p.vm }
+
+// Address returns where the sender listens, empty where it does not.
+func (p Presence) Address() string { return p.address }
+
+// Centre returns the data centre of the sender.
+func (p Presence) Centre() string { return p.centre }
+
+// StartID returns the id of the sender's present life.
+func (p Presence) StartID() string { return p.startID }
+
+// Revision returns the revision of the routes at the sender.
+func (p Presence) Revision() uint64 { return p.revision }
+
+// Controls returns the addresses of the control VMs that the sender knows.
+func (p Presence) Controls() []string { return p.controls }
+
+// EntryVMs returns the number of entry VMs that the sender hears.
+func (p Presence) EntryVMs() int { return p.entryVMs }
+
+// Leader returns the address of the leader, empty where none is known.
+func (p Presence) Leader() string { return p.leader }
+
+// Replica returns the sender's replica id and whether it has a log; the last
+// result is false where the sender keeps none.
+func (p Presence) Replica() (id string, founded, control bool) {
+	return p.replicaID, p.founded, p.replicaID != ""
+}
+
+// ListAge returns the age of the sender's target list, false for none.
+func (p Presence) ListAge() (time.Duration, bool) { return p.listAge, p.hasList }
+
+// Published carries the accepted routes.
+type Published struct{ routes replica.Routes }
+
+// NewPublished returns accepted routes.
+func NewPublished(routes replica.Routes) Published { return Published{routes: routes} }
+
+// Routes returns the accepted routes.
+func (p Published) Routes() replica.Routes { return p.routes }
+
+// Read asks the leader for the routes as a quorum confirms them.
+type Read struct{ number uint64 }
+
+// NewRead returns a read; the reply repeats its number.
+func NewRead(number uint64) Read { return Read{number: number} }
+
+// Number returns the number that the reply repeats.
+func (r Read) Number() uint64 { return r.number }
+
+// TargetList carries what changed in the list of targets since the last one on
+// the same session, or all of it.
+type TargetList struct {
+	whole      bool
+	age        time.Duration
+	difference discovery.Difference
+}
+
+// NewTargetList returns a difference, or a whole list, of an age.
+func NewTargetList(whole bool, age time.Duration, difference discovery.Difference) TargetList {
+	return TargetList{whole: whole, age: age, difference: difference}
+}
+
+// Whole reports whether the receiver starts from an empty list.
+func (t TargetList) Whole() bool { return t.whole }
+
+// Age returns how long before it was sent the list was read.
+func (t TargetList) Age() time.Duration { return t.age }
+
+// Difference returns what changed.
+func (t TargetList) Difference() discovery.Difference { return t.difference }
+
+func (Presence) message()   {}
+func (Published) message()  {}
+func (Read) message()       {}
+func (TargetList) message() {}
--- /dev/null
+++ b/core/connection/peer/presencecodec.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"github.com/mulberrydale/mulberrydale/core/connection/frame"
+	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+)
+
+func encodePresence(enc *frame.Encoder, p Presence) {
+	enc.String(p.vm)
+	enc.String(p.address)
+	enc.String(p.centre)
+	enc.String(p.startID)
+	enc.Uint(p.revision)
+	enc.Strings(p.controls)
+	enc.Int(int64(p.entryVMs))
+	enc.String(p.leader)
+	enc.String(p.replicaID)
+	enc.Bool(p.founded)
+	enc.Bool(p.hasList)
+	enc.Duration(p.listAge)
+}
+
+func decodePresence(dec *frame.Decoder) Presence {
+	return Presence{
+		vm:        dec.String(),
+		address:   dec.String(),
+		centre:    dec.String(),
+		startID:   dec.String(),
+		revision:  dec.Uint(),
+		controls:  dec.Strings(),
+		entryVMs:  int(dec.Int()),
+		leader:    dec.String(),
+		replicaID: dec.String(),
+		founded:   dec.Bool(),
+		hasList:   dec.Bool(),
+		listAge:   dec.Duration(),
+	}
+}
+
+func encodeTargetList(enc *frame.Encoder, t TargetList) {
+	enc.Bool(t.whole)
+	enc.Duration(t.age)
+	enc.Uint(uint64(len(t.difference.Changed())))
+	for _, i := range t.difference.Changed() {
+		enc.String(i.ID())
+		enc.String(i.Service())
+		enc.String(i.Address())
+		enc.String(i.Centre())
+		enc.Int(int64(i.Slots()))
+		enc.Bool(i.Leaving())
+		enc.Duration(i.ColdFor())
+	}
+	enc.Strings(t.difference.Removed())
+}
+
+func decodeTargetList(dec *frame.Decoder) TargetList {
+	t := TargetList{whole: dec.Bool(), age: dec.Duration()}
+	var changed []discovery.Instance
+	for range dec.Len() {
+		i := discovery.NewInstance(dec.String(), dec.String(), dec.String(), dec.String(), int(dec.Int()))
+		changed = append(changed, i.WithLeaving(dec.Bool()).WithColdFor(dec.Duration()))
+	}
+	t.difference = discovery.NewDifference(changed, dec.Strings())
+	return t
+}
--- /dev/null
+++ b/core/connection/upstream/upstream.go
@@ -0,0 +1,213 @@
+// Package upstream keeps the connections of this VM to targets. A connection
+// carries one request at a time and is used again only if nothing came in on
+// it meanwhile: whatever comes after a whole response belongs to no request.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	dialTimeout = 400 * time.Millisecond
+	readBuffer  = 4 << 10
+	// defaultIdle is how long a connection is kept for a target that does not
+	// say how long it does.
+	defaultIdle = 12 * time.Second
+	// idlePart is the part of a target's own idle time after which this side
+	// stops using a connection, so that both do not act at the same moment.
+	idlePart = 0.75
+	// sweepInterval is the time between two looks for connections to close.
+	sweepInterval = 2 * time.Second
+)
+
+// Conn is a connection to a target.
+type Conn struct {
+	net.Conn
+	reader   *bufio.Reader
+	pool     *Pool
+	address  string
+	idle     time.Duration
+	usedAt   time.Time
+	requests int
+}
+
+// Reader returns the buffered reader of the connection.
+func (c *Conn) Reader() *bufio.Reader { return c.reader }
+
+// Requests returns the number of requests that the connection carried before.
+func (c *Conn) Requests() int { return c.requests }
+
+// KeepFor takes over how long the target keeps an idle connection.
+func (c *Conn) KeepFor(d time.Duration) {
+	c.idle = time.Duration(idlePart * float64(d))
+}
+
+// Release gives the connection back for the next request.
+func (c *Conn) Release(now time.Time) {
+	c.requests++
+	c.usedAt = now
+	if c.reader.Buffered() > 0 {
+		c.Discard()
+		return
+	}
+	p := c.pool
+	p.mu.Lock()
+	if p.closed[c.address] {
+		p.mu.Unlock()
+		c.Discard()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+	p.mu.Unlock()
+}
+
+// Discard closes the connection.
+func (c *Conn) Discard() {
+	_ = c.Close()
+	c.pool.open.Add(-1)
+}
+
+// quiet reports whether nothing came in on an idle connection: no byte, no end
+// and no reset.
+func (c *Conn) quiet() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Pool holds the idle connections, by address. Its lock is taken alone.
+type Pool struct {
+	dials atomic.Int64
+	open  atomic.Int64
+
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+	closed map[string]bool
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{idle: make(map[string][]*Conn), closed: make(map[string]bool)}
+}
+
+// Dials returns the number of connections opened so far.
+func (p *Pool) Dials() int64 { return p.dials.Load() }
+
+// Open returns the number of connections that are open now.
+func (p *Pool) Open() int64 { return p.open.Load() }
+
+// Get returns the connection to an address that was used last, or a new one.
+// A request that must not be sent twice gets only one that was used within the
+// given time, because an idle one may just be closing.
+func (p *Pool) Get(ctx context.Context, address string, within time.Duration, now time.Time) (*Conn, error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			return p.dial(ctx, address)
+		}
+		age := now.Sub(c.usedAt)
+		if age > c.idle || within > 0 && age > within || !c.quiet() {
+			c.Discard()
+			continue
+		}
+		return c, nil
+	}
+}
+
+func (p *Pool) take(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p.dials.Add(1)
+	p.open.Add(1)
+	p.mu.Lock()
+	delete(p.closed, address)
+	p.mu.Unlock()
+	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), pool: p, address: address, idle: defaultIdle}, nil
+}
+
+// Close closes the idle connections to addresses that no target has any more.
+func (p *Pool) Close(addresses []string) {
+	var gone []*Conn
+	p.mu.Lock()
+	for _, a := range addresses {
+		gone = append(gone, p.idle[a]...)
+		delete(p.idle, a)
+		p.closed[a] = true
+	}
+	p.mu.Unlock()
+	for _, c := range gone {
+		c.Discard()
+	}
+}
+
+// Run closes connections that have been idle for long, until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			p.sweep(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Pool) sweep(now time.Time) {
+	var old []*Conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.usedAt) > c.idle {
+				old = append(old, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Discard()
+	}
+}
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -27,6 +27,8 @@
 	// compactEntries is the number of applied entries after which the journal
 	// is written anew.
 	compactEntries = 2000
+	// compactBytes is the size of applied entries after which it is, too.
+	compactBytes = 1 << 20
 	// joinInterval is the time between two requests to be taken in.
 	joinInterval = 500 * time.Millisecond
 )
@@ -38,9 +40,12 @@
 
 // Founding tells what the other control VMs say about their logs.
 type Founding interface {
-	// Others returns the other named control VMs by name, with false for each
-	// that has not been heard lately.
+	// Others returns the other control VMs by name, with a zero Candidate for
+	// each that has not been heard lately.
 	Others(now time.Time) map[string]Candidate
+	// MayFound reports whether this installation starts for the first time.
+	// Otherwise a VM without a log only joins.
+	MayFound() bool
 }
 
 // Candidate is a control VM before the log is founded.
@@ -66,6 +71,7 @@
 	voters    replica.Voters
 	version   uint64
 	document  []byte
+	routes    replica.Routes
 	quorumAge time.Duration
 	at        time.Time
 }
@@ -97,6 +103,9 @@
 // Document returns the text of the accepted configuration.
 func (s Status) Document() []byte { return s.document }
 
+// Routes returns the accepted routes.
+func (s Status) Routes() replica.Routes { return s.routes }
+
 // QuorumAge returns how long ago a quorum was confirmed.
 func (s Status) QuorumAge(now time.Time) time.Duration {
 	return s.quorumAge + now.Sub(s.at)
@@ -114,10 +123,17 @@
 	status   atomic.Pointer[Status]
 
 	// The rest belongs to the loop.
-	node     *replica.Node
-	journal  *journal.Journal
-	applied  uint64
-	pending  map[uint64]proposal
+	node    *replica.Node
+	journal *journal.Journal
+	applied uint64
+	pending map[uint64]proposal
+	reads   []read
+	// unwritten counts the bytes applied since the journal was written anew.
+	unwritten int
+	// failedAt is when the journal first refused a write, zero while it works.
+	failedAt time.Time
+	// retryAt is when the journal is tried again.
+	retryAt  time.Time
 	joinedAt time.Time
 	leader   string
 
@@ -127,7 +143,7 @@
 	state   *replica.State
 }
 
-// event is what the loop takes in: an envelope or a proposal.
+// event is what the loop takes in: an envelope, a proposal or a read.
 type event interface{ event() }
 
 type delivery struct{ envelope replica.Envelope }
@@ -138,6 +154,21 @@
 	reply   chan<- answer
 }
 
+// read is a wait for the routes as of a moment at which a quorum confirmed
+// that this replica leads.
+type read struct {
+	index uint64
+	since time.Time
+	reply chan<- readAnswer
+}
+
+// readAnswer is the outcome of a read.
+type readAnswer struct {
+	routes replica.Routes
+	err    error
+}
+
+func (read) event()     {}
 func (delivery) event() {}
 func (proposal) event() {}
 
@@ -148,8 +179,9 @@
 }
 
 // Open opens the data folder of a control VM and returns its role, which does
-// nothing until Run. The names are all control VMs of the settings.
-func Open(folder, vm string, named []string, sender Sender, founding Founding, log *zap.Logger, now time.Time) (*Control, error) {
+// nothing until Run. The names are all control VMs of the settings; where the
+// number of wanted voters is over 0, other VMs may join too.
+func Open(folder, vm string, named []string, wanted int, sender Sender, founding Founding, log *zap.Logger, now time.Time) (*Control, error) {
 	j, records, err := journal.Open(folder)
 	if err != nil {
 		return nil, err
@@ -182,6 +214,7 @@
 		pending:  make(map[uint64]proposal),
 	}
 	c.node = replica.NewNode(c.self, named, memory, rand.IntN, now)
+	c.node.WantVoters(wanted)
 	c.publish(now)
 	return c, nil
 }
@@ -230,3 +263,20 @@
 		return nil, result.New(result.ChangeUnknown, "no quorum answered in time; send the change again with its id")
 	}
 }
+
+// Read returns the routes as they are after the call began, confirmed by
+// a quorum. The error is NoQuorum where this replica can't be sure.
+func (c *Control) Read(ctx context.Context) (replica.Routes, error) {
+	reply := make(chan readAnswer, 1)
+	select {
+	case c.inbox <- read{reply: reply}:
+	case <-ctx.Done():
+		return replica.Routes{}, result.New(result.NoQuorum, "the control role is busy")
+	}
+	select {
+	case a := <-reply:
+		return a.routes, a.err
+	case <-ctx.Done():
+		return replica.Routes{}, result.New(result.NoQuorum, "no quorum confirmed the read in time")
+	}
+}
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -38,10 +38,18 @@
 		if err := c.step(clock); err != nil {
 			return err
 		}
-		timer.Reset(min(c.node.Next().Sub(clock.now()), joinInterval))
+		timer.Reset(c.pause(clock.now()))
 	}
 }
 
+// pause returns the time until something is due without an event.
+func (c *Control) pause(now time.Time) time.Duration {
+	if !c.failedAt.IsZero() {
+		return journalRetry
+	}
+	return max(0, min(c.node.Next().Sub(now), joinInterval))
+}
+
 // takeMore takes in what waits already, so that it shares one sync.
 func (c *Control) takeMore(now time.Time) {
 	for range maxBatch {
@@ -60,10 +68,16 @@
 		c.node.Step(e.envelope, now)
 	case proposal:
 		c.propose(e, now)
+	case read:
+		c.beginRead(e, now)
 	}
 }
 
 func (c *Control) propose(p proposal, now time.Time) {
+	if !c.failedAt.IsZero() {
+		p.reply <- answer{err: result.New(result.JournalUnusable, "the journal of this VM can't be written")}
+		return
+	}
 	payload := replica.EncodeCommand(replica.Stamped(p.command, now))
 	index, term, ok := c.node.Propose(payload)
 	if !ok {
@@ -78,6 +92,9 @@
 // send, then apply.
 func (c *Control) step(clock steady) error {
 	now := clock.now()
+	if !c.failedAt.IsZero() && !c.recoverJournal(now) {
+		return nil
+	}
 	c.found(now)
 	c.node.Tick(now)
 	c.node.Flush(now)
@@ -85,7 +102,8 @@
 		out := c.node.TakeOutput()
 		if out.Written() {
 			if err := c.write(out); err != nil {
-				return err
+				c.failJournal(err, clock.now())
+				return nil
 			}
 			c.node.Synced(clock.now())
 		}
@@ -104,6 +122,7 @@
 		c.node.Tick(clock.now())
 	}
 	c.apply()
+	c.finishReads(clock.now())
 	c.publish(clock.now())
 	return c.compact()
 }
@@ -133,6 +152,7 @@
 func (c *Control) apply() {
 	for _, e := range c.node.Committed(c.applied) {
 		c.applied = e.Index()
+		c.unwritten += len(e.Payload())
 		var a answer
 		if e.Kind() == replica.CommandEntry {
 			a = c.run(e.Payload())
@@ -173,6 +193,7 @@
 		voters:    c.node.Voters(),
 		version:   c.state.Version(),
 		document:  c.state.Document(),
+		routes:    c.state.Routes(),
 		quorumAge: c.node.QuorumAge(now),
 		at:        time.Now(),
 	}
@@ -182,7 +203,7 @@
 		c.leader = s.leader
 		c.log.Info("leader of the log", zap.String("vm", s.leader), zap.Uint64("term", s.term))
 	}
-	if old != nil && old.version == s.version {
+	if old != nil && old.version == s.version && old.routes.Revision() == s.routes.Revision() {
 		return
 	}
 	select {
@@ -193,15 +214,24 @@
 
 // compact writes the journal anew once many entries are applied.
 func (c *Control) compact() error {
-	if c.applied < c.node.Memory().Snapshot().Index()+compactEntries {
+	if c.applied < c.node.Memory().Snapshot().Index()+compactEntries && c.unwritten < compactBytes {
 		return nil
 	}
+	c.unwritten = 0
 	c.stateMu.Lock()
 	state := c.state.Encode()
 	c.stateMu.Unlock()
 	if _, ok := c.node.Compact(c.applied, state); !ok {
 		return nil
 	}
+	if err := c.rewrite(); err != nil {
+		c.failJournal(err, time.Now())
+	}
+	return nil
+}
+
+// rewrite replaces the journal by the shortest one that holds the memory.
+func (c *Control) rewrite() error {
 	records := [][]byte{encodeIdentity(c.self.ID())}
 	for _, r := range c.node.Memory().Records() {
 		records = append(records, encodeRecord(r))
@@ -231,7 +261,7 @@
 			c.sender.SendReplica(vm, replica.EncodeEnvelope(join))
 		}
 	}
-	if !founded && all && lowest {
+	if !founded && all && lowest && c.founding.MayFound() {
 		c.node.Found(replica.NewVoters(members), now)
 	}
 }
--- /dev/null
+++ b/core/process/placement/fleet.go
@@ -0,0 +1,225 @@
+// Package placement decides which target gets a request, how many at once,
+// and which request waits: from what the list of targets says and what the
+// requests of this VM have shown.
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
+)
+
+const (
+	// growth is how many more VMs than are heard may share a target's
+	// connections: some may just be starting.
+	growth = 1.25
+	// unlimited is the share of a target that declares no limit.
+	unlimited = 64
+	// defaultSlots is assumed of a target that does not tell its slots.
+	defaultSlots = 8
+)
+
+// Limits are the bounds that all VMs keep to together.
+type Limits struct {
+	extraRatio   float64
+	extraWindow  time.Duration
+	coldOverage  float64
+	coldSlack    float64
+	coldHeadroom float64
+}
+
+// NewLimits returns the bounds: further sends against first ones within
+// a window, and how far a cold target's rate may be exceeded for a second.
+func NewLimits(extraRatio float64, extraWindow time.Duration, coldOverage, coldSlack float64) Limits {
+	return Limits{extraRatio: extraRatio, extraWindow: extraWindow, coldOverage: coldOverage, coldSlack: coldSlack, coldHeadroom: 0.7}
+}
+
+// Fleet is the targets of all services. It is safe for concurrent use.
+type Fleet struct {
+	centre string
+	limits Limits
+
+	mu       sync.Mutex
+	groups   map[string]*group
+	byID     map[string]*Target
+	out      map[string]bool
+	entryVMs int
+	retired  []string
+}
+
+// group is the targets of one service. The fleet's lock guards it.
+type group struct {
+	fleet     *Fleet
+	name      string
+	declared  routing.Service
+	targets   []*Target
+	budget    budget
+	latencies map[string]*latency
+	queue     queue
+}
+
+// NewFleet returns a fleet without targets for a VM in a data centre.
+func NewFleet(centre string, limits Limits) *Fleet {
+	return &Fleet{
+		centre:   centre,
+		limits:   limits,
+		groups:   make(map[string]*group),
+		byID:     make(map[string]*Target),
+		out:      make(map[string]bool),
+		entryVMs: 1,
+	}
+}
+
+// group returns the targets of a service. The caller holds the lock.
+func (f *Fleet) group(service string) *group {
+	g := f.groups[service]
+	if g == nil {
+		g = &group{fleet: f, name: service, budget: newBudget(f.limits), latencies: make(map[string]*latency)}
+		f.groups[service] = g
+	}
+	return g
+}
+
+func (g *group) latency(kind string) *latency {
+	l := g.latencies[kind]
+	if l == nil {
+		l = &latency{}
+		g.latencies[kind] = l
+	}
+	return l
+}
+
+// perTarget returns how many requests this VM may have at a target at once:
+// its share of the connections, and no more than the target runs at a time.
+//
+// For example, 25 connections for up to 9 VMs are 2 for each.
+func (g *group) perTarget(t *Target) int {
+	slots := t.instance.Slots()
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return min(g.fleet.share(g.declared), slots)
+}
+
+// share returns the connections to one target that this VM may open.
+func (f *Fleet) share(declared routing.Service) int {
+	if declared.MaxConnections() <= 0 {
+		return unlimited
+	}
+	vms := int(float64(f.entryVMs)*growth) + 1
+	return max(1, declared.MaxConnections()/vms)
+}
+
+// coldLimit returns the requests that this VM may send a cold target within
+// a second, -1 for no limit.
+func (g *group) coldLimit() int {
+	rate := g.declared.ColdRate()
+	if rate <= 0 {
+		return -1
+	}
+	l := g.fleet.limits
+	all := (rate*l.coldOverage + l.coldSlack) * l.coldHeadroom
+	// A second of this VM's clock may lie across two of whoever counts.
+	return max(1, int(all/float64(g.fleet.entryVMs)/2))
+}
+
+// SetEntryVMs takes over the number of VMs that share the targets.
+func (f *Fleet) SetEntryVMs(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entryVMs = max(n, 1)
+}
+
+// SetServices takes over the declared services.
+func (f *Fleet) SetServices(t *routing.Table) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range t.Routes() {
+		for _, name := range r.Services() {
+			if s, ok := t.Service(name); ok {
+				f.group(name).declared = s
+			}
+		}
+	}
+}
+
+// SetOut takes over the data centres that get nothing.
+func (f *Fleet) SetOut(centres []string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.out)
+	for _, c := range centres {
+		f.out[c] = true
+	}
+	f.handOverAll(now)
+}
+
+// SetTargets takes over a list of targets and returns the addresses that no
+// listed target has any more.
+func (f *Fleet) SetTargets(list discovery.List, now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(list.Instances()))
+	addresses := make(map[string]bool, len(list.Instances()))
+	for _, i := range list.Instances() {
+		listed[i.ID()] = true
+		addresses[i.Address()] = true
+		f.set(i, now)
+	}
+	var gone []string
+	for id, t := range f.byID {
+		if listed[id] {
+			continue
+		}
+		t.listed = false
+		f.remove(t)
+		if !addresses[t.instance.Address()] {
+			gone = append(gone, t.instance.Address())
+		}
+	}
+	f.handOverAll(now)
+	return gone
+}
+
+func (f *Fleet) set(i discovery.Instance, now time.Time) {
+	t := f.byID[i.ID()]
+	if t != nil && (t.instance.Service() != i.Service() || t.instance.Address() != i.Address()) {
+		t.listed = false
+		f.remove(t)
+		t = nil
+	}
+	if t != nil {
+		t.update(i, now)
+		return
+	}
+	g := f.group(i.Service())
+	t = newTarget(i, g, now)
+	g.targets = append(g.targets, t)
+	f.byID[i.ID()] = t
+}
+
+func (f *Fleet) remove(t *Target) {
+	delete(f.byID, t.instance.ID())
+	g := t.group
+	for n, other := range g.targets {
+		if other == t {
+			g.targets = append(g.targets[:n:n], g.targets[n+1:]...)
+			return
+		}
+	}
+}
+
+// Usable returns the number of targets of a service that may get requests.
+func (f *Fleet) Usable(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, t := range f.group(service).targets {
+		if !t.leaving && !f.out[t.instance.Centre()] {
+			n++
+		}
+	}
+	return n
+}
--- a/core/process/replica/command.go
+++ b/core/process/replica/command.go
@@ -7,7 +7,8 @@
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
 
-// Command is what the log agrees on: Replace, SetDataCentre, Claim or Settle.
+// Command is what the log agrees on: Replace, SetDataCentre, Claim, Settle,
+// Publish or Withdraw.
 type Command interface{ command() }
 
 // Stamp says who changes what, why, when, and from which version.
@@ -94,11 +95,18 @@
 	case Claim:
 		c.at = at
 		return c
+	case Publish:
+		c.at = at
+		return c
+	case Withdraw:
+		c.at = at
+		return c
 	}
 	return c
 }
 
-// Outcome is what became of a command: ChangeOutcome or ClaimOutcome.
+// Outcome is what became of a command: ChangeOutcome, ClaimOutcome or
+// RoutesOutcome.
 type Outcome interface{ outcome() }
 
 // ChangeOutcome says whether a change was accepted and which version it made
--- a/core/process/replica/node.go
+++ b/core/process/replica/node.go
@@ -63,9 +63,12 @@
 
 // Node is one replica. It is not safe for concurrent use.
 type Node struct {
-	self    Member
-	named   []string
-	pick    func(n int) int
+	self  Member
+	named []string
+	pick  func(n int) int
+	// wanted is the number of voters that a growing installation aims at,
+	// 0 where the named VMs are the only ones.
+	wanted  int
 	hard    HardState
 	log     tail
 	commit  uint64
@@ -118,6 +121,40 @@
 	n.resetElection(now)
 }
 
+// WantVoters sets the number of voters to aim at. Any VM may then join, and
+// a voter that has fallen silent is replaced by a learner that has caught up.
+func (n *Node) WantVoters(number int) { n.wanted = number }
+
+// StepDown gives the leadership up, because this replica can't write.
+func (n *Node) StepDown(now time.Time) {
+	if n.role == Leader {
+		n.follow(n.hard.term, Member{}, now)
+	}
+}
+
+// Beat makes the next Tick of a leader send heartbeats at once.
+func (n *Node) Beat(now time.Time) { n.beatAt = now }
+
+// Readable returns the index up to which a read that begins now must see the
+// log, false where this replica can't tell. A leader knows it once it has
+// committed an entry of its own term.
+func (n *Node) Readable() (index uint64, ok bool) {
+	if n.role != Leader {
+		return 0, false
+	}
+	term, known := n.log.term(n.commit)
+	return n.commit, known && term == n.hard.term
+}
+
+// QuorumAt returns the latest time at which a quorum is known to have followed
+// this leader. A read that began earlier is current once its index is applied.
+func (n *Node) QuorumAt(now time.Time) (time.Time, bool) {
+	if n.role != Leader {
+		return time.Time{}, false
+	}
+	return n.quorumAt(now), true
+}
+
 // Role returns what the replica does at present.
 func (n *Node) Role() Role { return n.role }
 
--- a/core/process/replica/repair.go
+++ b/core/process/replica/repair.go
@@ -5,10 +5,14 @@
 	"time"
 )
 
+// silentAfter is the time without a reply after which a voter may be replaced
+// by a learner that has caught up.
+const silentAfter = 2500 * time.Millisecond
+
 // stepJoin takes a replica with an empty log as a learner. It receives the log
 // and counts for nothing until a committed change makes it a voter.
 func (n *Node) stepJoin(m Join, now time.Time) {
-	if n.role != Leader || m.member.vm == n.self.vm || !slices.Contains(n.named, m.member.vm) || n.Voters().Has(m.member.id) {
+	if n.role != Leader || m.member.vm == n.self.vm || !n.mayJoin(m.member.vm) || n.Voters().Has(m.member.id) {
 		return
 	}
 	for id, other := range n.learners {
@@ -40,11 +44,40 @@
 		n.replicate(now)
 		return
 	}
+	if n.wanted > 0 && len(voters.members) >= n.wanted {
+		if silent, ok := n.silentVoter(voters, now); ok {
+			n.append(VoterChange, nil, voters.without(silent.id))
+			n.replicate(now)
+		}
+		return
+	}
 	delete(n.learners, m.id)
 	n.append(VoterChange, nil, voters.with(m))
 	n.replicate(now)
 }
 
+// mayJoin reports whether the replica of a VM may become a learner.
+func (n *Node) mayJoin(vm string) bool {
+	return n.wanted > 0 || slices.Contains(n.named, vm)
+}
+
+// silentVoter returns a voter that has not replied for a while.
+func (n *Node) silentVoter(voters Voters, now time.Time) (Member, bool) {
+	for _, m := range voters.members {
+		if m.id == n.self.id {
+			continue
+		}
+		at := n.peer(m.id).ackedAt
+		if at.IsZero() {
+			at = n.leadsSince
+		}
+		if now.Sub(at) > silentAfter {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 // mayChangeVoters reports whether the last change of voters is committed, and
 // with it an entry of the own term: two changes at once could give two
 // majorities that do not meet.
--- a/core/process/replica/state.go
+++ b/core/process/replica/state.go
@@ -34,6 +34,7 @@
 	order    []string
 	claims   *claim.Table
 	trail    *audit.Trail
+	routes   Routes
 }
 
 // NewState returns the state before the first command.
@@ -66,6 +67,10 @@
 		return s.once(c.stamp, digest("data-centre", fmt.Sprint(c.centre, c.inService)), func() ChangeOutcome { return s.setDataCentre(c) })
 	case Claim:
 		return ClaimOutcome{answer: s.claims.Claim(c.id, c.holder, c.keep, c.at)}
+	case Publish:
+		return s.publish(c)
+	case Withdraw:
+		return s.withdraw(c)
 	case Settle:
 		s.claims.Settle(c.id, c.holder, c.code, c.body)
 	}
--- a/core/process/replica/statecodec.go
+++ b/core/process/replica/statecodec.go
@@ -20,6 +20,9 @@
 	wireClaimSettled
 	wireClaimFull
 	wireNoAnswer
+	wirePublish
+	wireWithdraw
+	wireRoutesOutcome
 )
 
 // EncodeCommand writes a command for the log.
@@ -47,6 +50,16 @@
 		enc.String(c.holder)
 		enc.Int(int64(c.code))
 		enc.Bytes(c.body)
+	case Publish:
+		enc.Uint(wirePublish)
+		enc.Uint(c.version)
+		enc.Bytes(c.document)
+		enc.Time(c.at)
+	case Withdraw:
+		enc.Uint(wireWithdraw)
+		enc.String(c.centre)
+		enc.Bool(c.out)
+		enc.Time(c.at)
 	}
 	return enc.Payload()
 }
@@ -64,6 +77,10 @@
 		out = Claim{id: dec.String(), holder: dec.String(), keep: dec.Duration(), at: dec.Time()}
 	case wireSettle:
 		out = Settle{id: dec.String(), holder: dec.String(), code: result.Code(dec.Int()), body: dec.Bytes()}
+	case wirePublish:
+		out = Publish{version: dec.Uint(), document: dec.Bytes(), at: dec.Time()}
+	case wireWithdraw:
+		out = Withdraw{centre: dec.String(), out: dec.Bool(), at: dec.Time()}
 	default:
 		dec.Fail("an unknown kind of command")
 	}
@@ -104,6 +121,10 @@
 		default:
 			enc.Uint(wireNoAnswer)
 		}
+	case RoutesOutcome:
+		enc.Uint(wireRoutesOutcome)
+		enc.Uint(o.revision)
+		enc.Uint(o.version)
 	}
 	return enc.Payload()
 }
@@ -125,6 +146,8 @@
 		out = ClaimOutcome{answer: claim.NewSettled(result.Code(dec.Int()), dec.Bytes())}
 	case wireNoAnswer:
 		out = ClaimOutcome{}
+	case wireRoutesOutcome:
+		out = RoutesOutcome{revision: dec.Uint(), version: dec.Uint()}
 	default:
 		dec.Fail("an unknown kind of outcome")
 	}
@@ -163,6 +186,7 @@
 	for _, r := range trail {
 		EncodeAudit(enc, r)
 	}
+	EncodeRoutes(enc, s.routes)
 	return enc.Payload()
 }
 
@@ -187,6 +211,7 @@
 	for range dec.Len() {
 		s.trail.Add(DecodeAudit(dec))
 	}
+	s.routes = DecodeRoutes(dec)
 	if err := dec.Err(); err != nil {
 		return nil, err
 	}
@@ -228,3 +253,16 @@
 func DecodeAudit(dec *frame.Decoder) audit.Record {
 	return audit.NewRecord(dec.Time(), dec.String(), dec.String(), dec.String(), dec.Uint(), dec.Uint(), result.Code(dec.Int()), dec.Strings())
 }
+
+// EncodeRoutes writes accepted routes.
+func EncodeRoutes(enc *frame.Encoder, r Routes) {
+	enc.Uint(r.revision)
+	enc.Uint(r.version)
+	enc.Bytes(r.document)
+	enc.Strings(r.out)
+}
+
+// DecodeRoutes reads accepted routes.
+func DecodeRoutes(dec *frame.Decoder) Routes {
+	return Routes{revision: dec.Uint(), version: dec.Uint(), document: dec.Bytes(), out: dec.Strings()}
+}
--- /dev/null
+++ b/core/request/relay/message.go
@@ -0,0 +1,201 @@
+// Package relay answers one request from the targets of its route: one target
+// whose response is passed on unchanged, or one target of every shard whose
+// records are merged. The decisions stand in State; the rest is a thin shell.
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+)
+
+// Request is what a caller asks.
+type Request struct {
+	id       string
+	method   string
+	host     string
+	uri      string
+	path     string
+	header   http.Header
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+}
+
+// NewRequest returns a request that arrived at a time. The path selects the
+// route; the URI is passed on unchanged.
+func NewRequest(id, method, host, uri, path string, header http.Header, body []byte, arrived time.Time) *Request {
+	return &Request{id: id, method: method, host: host, uri: uri, path: path, header: header, body: body, arrived: arrived}
+}
+
+// Within returns the request with the time that its caller waits.
+func (r *Request) Within(d time.Duration) *Request {
+	r.deadline = r.arrived.Add(d)
+	return r
+}
+
+// ID returns the caller's id of this attempt.
+func (r *Request) ID() string { return r.id }
+
+// Method returns the method.
+func (r *Request) Method() string { return r.method }
+
+// Host returns the host that the caller named.
+func (r *Request) Host() string { return r.host }
+
+// URI returns the path and query as the caller wrote them.
+func (r *Request) URI() string { return r.uri }
+
+// Header returns the header that is passed on.
+func (r *Request) Header() http.Header { return r.header }
+
+// Body returns the whole body.
+func (r *Request) Body() []byte { return r.body }
+
+// Attempt is one send of a request to a target.
+type Attempt struct {
+	request     *Request
+	instance    discovery.Instance
+	deadline    time.Time
+	connections int
+	once        bool
+}
+
+// Request returns what is sent.
+func (a Attempt) Request() *Request { return a.request }
+
+// Instance returns the target that must answer; no other may.
+func (a Attempt) Instance() discovery.Instance { return a.instance }
+
+// Deadline returns when the response is of no more use.
+func (a Attempt) Deadline() time.Time { return a.deadline }
+
+// Connections returns how many connections to the target may be open.
+func (a Attempt) Connections() int { return a.connections }
+
+// Once reports whether the request must not be sent twice.
+func (a Attempt) Once() bool { return a.once }
+
+// Response is what a target answered, whole.
+type Response struct {
+	status    int
+	header    http.Header
+	body      []byte
+	signature string
+}
+
+// NewResponse returns a whole response with the target's signature.
+func NewResponse(status int, header http.Header, body []byte, signature string) *Response {
+	return &Response{status: status, header: header, body: body, signature: signature}
+}
+
+// Status returns the status.
+func (r *Response) Status() int { return r.status }
+
+// Header returns the header without what concerns one connection only.
+func (r *Response) Header() http.Header { return r.header }
+
+// Body returns the whole body.
+func (r *Response) Body() []byte { return r.body }
+
+// Signature returns the signature of the target, empty for none.
+func (r *Response) Signature() string { return r.signature }
+
+// Load is what a target tells of the requests that it has.
+type Load struct {
+	running int
+	waiting int
+	known   bool
+}
+
+// NewLoad returns a told load.
+func NewLoad(running, waiting int) Load {
+	return Load{running: running, waiting: waiting, known: true}
+}
+
+// Outcome is what became of an attempt: Answered, Declined, Unsent or Lost.
+type Outcome interface{ outcome() }
+
+// Answered carries a whole response.
+type Answered struct {
+	response *Response
+	load     Load
+	leaving  bool
+}
+
+// Declined says that the target did not run the request and will not.
+type Declined struct {
+	load    Load
+	leaving bool
+	reason  string
+}
+
+// Unsent says that no byte of the request left.
+type Unsent struct{ err error }
+
+// Lost says that the request left and that no usable response came back: it
+// may have run.
+type Lost struct{ err error }
+
+func (Answered) outcome() {}
+func (Declined) outcome() {}
+func (Unsent) outcome()   {}
+func (Lost) outcome()     {}
+
+// NewAnswered returns a whole response, with the target's load and whether the
+// target said that it leaves.
+func NewAnswered(r *Response, load Load, leaving bool) Answered {
+	return Answered{response: r, load: load, leaving: leaving}
+}
+
+// NewDeclined returns a refusal by the target.
+func NewDeclined(load Load, leaving bool, reason string) Declined {
+	return Declined{load: load, leaving: leaving, reason: reason}
+}
+
+// NewUnsent returns the outcome of a request of which no byte left.
+func NewUnsent(err error) Unsent { return Unsent{err: err} }
+
+// NewLost returns the outcome of a request that left without an answer.
+func NewLost(err error) Lost { return Lost{err: err} }
+
+// Answer is what the caller gets: Relayed, Merged or Refused.
+type Answer interface{ answer() }
+
+// Relayed passes the response of one target on.
+type Relayed struct{ response *Response }
+
+// Response returns the response of the target.
+func (a Relayed) Response() *Response { return a.response }
+
+// Merged holds the greatest records of the parts that are in.
+type Merged struct {
+	records    []byte
+	signatures []string
+	missing    int
+}
+
+// Records returns the greatest records, greatest first.
+func (a Merged) Records() []byte { return a.records }
+
+// Signatures returns the signatures of the parts that are in.
+func (a Merged) Signatures() []string { return a.signatures }
+
+// Missing returns the number of shards that are not in.
+func (a Merged) Missing() int { return a.missing }
+
+func (Relayed) answer() {}
+func (Merged) answer()  {}
+func (Refused) answer() {}
+
+// Took returns the time since the request arrived.
+func (r *Request) Took(now time.Time) time.Duration { return now.Sub(r.arrived) }
+
+// Allowed returns the time that the caller waits, 0 where it named none.
+func (r *Request) Allowed() time.Duration {
+	if r.deadline.IsZero() {
+		return 0
+	}
+	return r.deadline.Sub(r.arrived)
+}
--- a/core/result/code.go
+++ b/core/result/code.go
@@ -51,6 +51,7 @@
 
 	OutcomeUnknown Code = 300
 	ClaimedBefore  Code = 301
+	TimedOut       Code = 302
 
 	Syntax            Code = 400
 	UnknownKey        Code = 401
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -21,6 +21,7 @@
 	{Unconfirmed, "unconfirmed", "this VM waits for a confirmation of its configuration; send the request to another one"},
 
 	{OutcomeUnknown, "outcome-unknown", "the request left this VM and no answer came back; it may have run"},
+	{TimedOut, "timed-out", "the time was up before a usable response came back; the request may have run"},
 	{ClaimedBefore, "claimed-before", "this request id has run before; the first outcome is repeated"},
 
 	{Syntax, "syntax", "the text is not JSON with comments, or it ends early"},
--- a/core/version/document/document.go
+++ b/core/version/document/document.go
@@ -57,6 +57,9 @@
 	d.addAt(code, path, offset, "%s", remedy, message)
 }
 
+// Faults returns the number of faults found so far.
+func (d *Document) Faults() int { return len(d.faults) }
+
 // Err returns the faults found so far as a *Faults, or nil if there are none.
 func (d *Document) Err() error {
 	if len(d.faults) == 0 {
--- a/core/version/document/object.go
+++ b/core/version/document/object.go
@@ -114,6 +114,58 @@
 	return o.Int(key, low, high)
 }
 
+// Given reports whether the object has the key with a value other than null,
+// and marks it as known.
+func (o *Object) Given(key string) bool {
+	value := o.lookup(key)
+	if value == nil {
+		return false
+	}
+	literal, ok := value.Value.(hujson.Literal)
+	return !ok || literal.Kind() != 'n'
+}
+
+// Number returns a required number within [low, high]; it may have a fraction.
+func (o *Object) Number(key string, low, high float64) float64 {
+	want := fmt.Sprintf("a number from %g to %g", low, high)
+	value := o.required(key, want)
+	if value == nil {
+		return low
+	}
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		o.wrongType(key, value, want)
+		return low
+	}
+	n, err := strconv.ParseFloat(string(literal), 64)
+	if err != nil {
+		o.wrongType(key, value, want)
+		return low
+	}
+	if n < low || n > high {
+		o.doc.addAt(result.LimitOutOfRange, o.path+"/"+key, value.StartOffset, "%g is out of range", "write "+want, n)
+		return low
+	}
+	return n
+}
+
+// NumberOr returns a number, or a default where the key is not there.
+func (o *Object) NumberOr(key string, low, high, otherwise float64) float64 {
+	if !o.Given(key) {
+		return otherwise
+	}
+	return o.Number(key, low, high)
+}
+
+// Object returns a required object.
+func (o *Object) Object(key string) *Object {
+	value := o.required(key, "an object in braces")
+	if value == nil {
+		return &Object{doc: o.doc, path: o.path + "/" + key, broken: true}
+	}
+	return o.doc.object(value, o.path+"/"+key)
+}
+
 // Milliseconds returns a required duration written as a whole number of
 // milliseconds within [low, high].
 func (o *Object) Milliseconds(key string, low, high int) time.Duration {
@@ -156,6 +208,21 @@
 	return out
 }
 
+// Ints returns a required list of whole numbers within [low, high].
+func (o *Object) Ints(key string, low, high int) []int {
+	var out []int
+	for i, element := range o.elements(key) {
+		literal, ok := element.Value.(hujson.Literal)
+		n, err := strconv.Atoi(string(literal))
+		if !ok || err != nil || n < low || n > high {
+			o.wrongType(key+"/"+strconv.Itoa(i), element, fmt.Sprintf("a whole number from %d to %d", low, high))
+			continue
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
 // Objects returns a required list of objects.
 func (o *Object) Objects(key string) []*Object {
 	var out []*Object
--- a/mulberrydale/vm/receive.go
+++ b/mulberrydale/vm/receive.go
@@ -173,3 +173,7 @@
 	}
 	return out
 }
+
+// MayFound reports whether this VM may write the first set of voters: the
+// settings name all control VMs, so it may once all were heard.
+func (v *VM) MayFound() bool { return true }
--- a/mulberrydale/vm/vm.go
+++ b/mulberrydale/vm/vm.go
@@ -68,7 +68,7 @@
 	v.view = membership.NewView(v.mesh.Peers(), now)
 	v.entry = entry.New(s.VM(), v.startID, v.table, v, v.view, scope, log)
 	if s.IsControl() {
-		role, err := control.Open(s.DataFolder(), s.VM(), s.ControlVMs(), v, v, log, now)
+		role, err := control.Open(s.DataFolder(), s.VM(), s.ControlVMs(), 0, v, v, log, now)
 		if err != nil {
 			return nil, err
 		}
