--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -269,13 +269,16 @@
 	return p
 }
 
-// beat sends a presence on every session.
+// beat sends a presence on every session. The presence of a control VM dates
+// the list that was sent before it, so the list goes first.
 func (c *Cluster) beat(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	payload := peer.Encode(c.presence(now))
-	for s := range c.sessions {
-		s.Send(payload)
+	for s, r := range c.sessions {
+		if c.control == nil || !r.known || c.sendList(s, r, now) {
+			s.Send(payload)
+		}
 	}
 }
 
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -112,20 +112,22 @@
 	c.sendList(s, r, time.Now())
 }
 
-// sendList sends what changed since the last list on this session. The caller
-// holds the lock.
-func (c *Cluster) sendList(s *session.Session, r *remote, now time.Time) {
+// sendList sends what changed since the last list on this session, and reports
+// whether the peer will have the present list. The caller holds the lock.
+func (c *Cluster) sendList(s *session.Session, r *remote, now time.Time) bool {
 	if c.list.Empty() {
-		return
+		return true
 	}
 	difference := discovery.Compare(r.sent, c.list)
 	if r.sentOnce && difference.Empty() {
-		return
+		return true
 	}
-	if s.Send(peer.Encode(peer.NewTargetList(!r.sentOnce, now.Sub(c.list.ReadAt()), difference))) {
+	sent := s.Send(peer.Encode(peer.NewTargetList(!r.sentOnce, now.Sub(c.list.ReadAt()), difference)))
+	if sent {
 		r.sent = c.list
 		r.sentOnce = true
 	}
+	return sent
 }
 
 // receiveTargets keeps the mirror of a session and takes it over if it is the
