--- a/core/connection/peer/presence.go
+++ b/core/connection/peer/presence.go
@@ -21,8 +21,9 @@
 	// replicaID is empty where the sender keeps no log.
 	replicaID string
 	founded   bool
-	hasList   bool
-	listAge   time.Duration
+	// listNumber is that of the sender's target list, 0 for none.
+	listNumber uint64
+	listAge    time.Duration
 }
 
 // NewPresence returns the presence of a process at a revision of the routes.
@@ -47,9 +48,10 @@
 	return p
 }
 
-// WithListAge returns the presence with the age of the sender's target list.
-func (p Presence) WithListAge(age time.Duration) Presence {
-	p.hasList = true
+// WithList returns the presence with the number and age of the sender's target
+// list.
+func (p Presence) WithList(number uint64, age time.Duration) Presence {
+	p.listNumber = number
 	p.listAge = age
 	return p
 }
@@ -84,8 +86,8 @@
 	return p.replicaID, p.founded, p.replicaID != ""
 }
 
-// ListAge returns the age of the sender's target list, false for none.
-func (p Presence) ListAge() (time.Duration, bool) { return p.listAge, p.hasList }
+// List returns the number and age of the sender's target list, 0 for none.
+func (p Presence) List() (number uint64, age time.Duration) { return p.listNumber, p.listAge }
 
 // Published carries the accepted routes.
 type Published struct{ routes replica.Routes }
@@ -109,18 +111,22 @@
 // the same session, or all of it.
 type TargetList struct {
 	whole      bool
+	number     uint64
 	age        time.Duration
 	difference discovery.Difference
 }
 
-// NewTargetList returns a difference, or a whole list, of an age.
-func NewTargetList(whole bool, age time.Duration, difference discovery.Difference) TargetList {
-	return TargetList{whole: whole, age: age, difference: difference}
+// NewTargetList returns a difference, or a whole list, of a number and age.
+func NewTargetList(whole bool, number uint64, age time.Duration, difference discovery.Difference) TargetList {
+	return TargetList{whole: whole, number: number, age: age, difference: difference}
 }
 
 // Whole reports whether the receiver starts from an empty list.
 func (t TargetList) Whole() bool { return t.whole }
 
+// Number returns the number of the list after the difference.
+func (t TargetList) Number() uint64 { return t.number }
+
 // Age returns how long before it was sent the list was read.
 func (t TargetList) Age() time.Duration { return t.age }
 
--- a/core/connection/peer/presencecodec.go
+++ b/core/connection/peer/presencecodec.go
@@ -16,29 +16,30 @@
 	enc.String(p.leader)
 	enc.String(p.replicaID)
 	enc.Bool(p.founded)
-	enc.Bool(p.hasList)
+	enc.Uint(p.listNumber)
 	enc.Duration(p.listAge)
 }
 
 func decodePresence(dec *frame.Decoder) Presence {
 	return Presence{
-		vm:        dec.String(),
-		address:   dec.String(),
-		centre:    dec.String(),
-		startID:   dec.String(),
-		revision:  dec.Uint(),
-		controls:  dec.Strings(),
-		entryVMs:  int(dec.Int()),
-		leader:    dec.String(),
-		replicaID: dec.String(),
-		founded:   dec.Bool(),
-		hasList:   dec.Bool(),
-		listAge:   dec.Duration(),
+		vm:         dec.String(),
+		address:    dec.String(),
+		centre:     dec.String(),
+		startID:    dec.String(),
+		revision:   dec.Uint(),
+		controls:   dec.Strings(),
+		entryVMs:   int(dec.Int()),
+		leader:     dec.String(),
+		replicaID:  dec.String(),
+		founded:    dec.Bool(),
+		listNumber: dec.Uint(),
+		listAge:    dec.Duration(),
 	}
 }
 
 func encodeTargetList(enc *frame.Encoder, t TargetList) {
 	enc.Bool(t.whole)
+	enc.Uint(t.number)
 	enc.Duration(t.age)
 	enc.Uint(uint64(len(t.difference.Changed())))
 	for _, i := range t.difference.Changed() {
@@ -54,7 +55,7 @@
 }
 
 func decodeTargetList(dec *frame.Decoder) TargetList {
-	t := TargetList{whole: dec.Bool(), age: dec.Duration()}
+	t := TargetList{whole: dec.Bool(), number: dec.Uint(), age: dec.Duration()}
 	var changed []discovery.Instance
 	for range dec.Len() {
 		i := discovery.NewInstance(dec.String(), dec.String(), dec.String(), dec.String(), int(dec.Int()))
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -264,7 +264,7 @@
 	sort.Strings(controls)
 	p = p.WithMembers(append(controls, c.self.address), c.entryVMs(now))
 	if !c.list.Empty() {
-		p = p.WithListAge(now.Sub(c.list.ReadAt()))
+		p = p.WithList(c.list.Number(), now.Sub(c.list.ReadAt()))
 	}
 	return p
 }
@@ -300,13 +300,13 @@
 	return newer
 }
 
-// adoptList takes a list of targets over if it was read later than the present
+// adoptList takes a list of targets over if it comes after the present
 // one, and reports whether it was.
 func (c *Cluster) adoptList(list discovery.List, now time.Time) bool {
 	c.observing.Lock()
 	defer c.observing.Unlock()
 	c.mu.Lock()
-	fresher := list.ReadAt().After(c.list.ReadAt())
+	fresher := list.Newer(c.list)
 	var difference discovery.Difference
 	first := c.list.Empty()
 	if fresher {
--- a/core/process/cluster/loops.go
+++ b/core/process/cluster/loops.go
@@ -163,6 +163,7 @@
 	began := time.Now()
 	c.mu.Lock()
 	c.readAt = began
+	number := c.list.Number() + 1
 	c.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -172,7 +173,7 @@
 		return
 	}
 	now := time.Now()
-	if !c.adoptList(discovery.NewList(instances, began), now) || c.control == nil {
+	if !c.adoptList(discovery.NewList(instances, number, began), now) || c.control == nil {
 		return
 	}
 	c.mu.Lock()
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -122,7 +122,7 @@
 	if r.sentOnce && difference.Empty() {
 		return true
 	}
-	sent := s.Send(peer.Encode(peer.NewTargetList(!r.sentOnce, now.Sub(c.list.ReadAt()), difference)))
+	sent := s.Send(peer.Encode(peer.NewTargetList(!r.sentOnce, c.list.Number(), now.Sub(c.list.ReadAt()), difference)))
 	if sent {
 		r.sent = c.list
 		r.sentOnce = true
@@ -143,7 +143,7 @@
 	if t.Whole() {
 		base = discovery.List{}
 	}
-	r.mirror = base.Apply(t.Difference(), now.Add(-t.Age()))
+	r.mirror = base.Apply(t.Difference(), t.Number(), now.Add(-t.Age()))
 	mirror := r.mirror
 	c.mu.Unlock()
 	c.adoptList(mirror, now)
@@ -152,11 +152,11 @@
 // freshMirror returns the list of a peer as its presence dates it. A presence
 // says how old the list is that was sent before it. The caller holds the lock.
 func (c *Cluster) freshMirror(r *remote, now time.Time) discovery.List {
-	age, ok := r.presence.ListAge()
-	if !ok || r.mirror.Empty() {
+	number, age := r.presence.List()
+	if number <= r.mirror.Number() || r.mirror.Empty() {
 		return discovery.List{}
 	}
-	r.mirror = r.mirror.Apply(discovery.Difference{}, now.Add(-age))
+	r.mirror = r.mirror.Apply(discovery.Difference{}, number, now.Add(-age))
 	return r.mirror
 }
 
--- a/core/process/discovery/discovery.go
+++ b/core/process/discovery/discovery.go
@@ -59,24 +59,33 @@
 // List is what a reading of the list gave, sorted by id.
 type List struct {
 	instances []Instance
+	number    uint64
 	readAt    time.Time
 }
 
-// NewList returns the instances of a reading.
-func NewList(instances []Instance, readAt time.Time) List {
+// NewList returns the instances of a reading. Its number is one higher than
+// that of any reading that was known when it began, so that a VM that was
+// suspended in the middle of a reading does not pass it off as a late one.
+func NewList(instances []Instance, number uint64, readAt time.Time) List {
 	sorted := append([]Instance(nil), instances...)
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].id < sorted[j].id })
-	return List{instances: sorted, readAt: readAt}
+	return List{instances: sorted, number: number, readAt: readAt}
 }
 
 // Instances returns the instances, sorted by id.
 func (l List) Instances() []Instance { return l.instances }
 
+// Number orders the readings of all VMs.
+func (l List) Number() uint64 { return l.number }
+
+// Newer reports whether the list comes after another one.
+func (l List) Newer(other List) bool { return l.number > other.number }
+
 // ReadAt returns when the reading began, on the clock of this process.
 func (l List) ReadAt() time.Time { return l.readAt }
 
 // Empty reports whether no reading has been made.
-func (l List) Empty() bool { return l.readAt.IsZero() }
+func (l List) Empty() bool { return l.number == 0 }
 
 // Difference is what turns one list into another.
 type Difference struct {
@@ -130,8 +139,8 @@
 	return cold && a == b
 }
 
-// Apply returns the list after a difference, as read at a time.
-func (l List) Apply(d Difference, readAt time.Time) List {
+// Apply returns the list after a difference, as a reading of a number and time.
+func (l List) Apply(d Difference, number uint64, readAt time.Time) List {
 	gone := make(map[string]bool, len(d.removed)+len(d.changed))
 	for _, id := range d.removed {
 		gone[id] = true
@@ -145,5 +154,5 @@
 			out = append(out, i)
 		}
 	}
-	return NewList(append(out, d.changed...), readAt)
+	return NewList(append(out, d.changed...), number, readAt)
 }
--- a/core/process/placement/budget.go
+++ b/core/process/placement/budget.go
@@ -5,7 +5,7 @@
 const (
 	// budgetBuckets is the number of parts of a budget's window.
 	budgetBuckets = 20
-	// budgetMargin keeps a VM under its part of the allowed ratio, because the
+	// budgetMargin keeps a VM under its part of what is allowed, because the
 	// window of whoever counts may begin at any moment.
 	budgetMargin = 0.9
 )
@@ -15,6 +15,7 @@
 // over all VMs keeps to it without any talk between them.
 type budget struct {
 	ratio  float64
+	slack  float64
 	window time.Duration
 	firsts [budgetBuckets]int
 	extras [budgetBuckets]int
@@ -22,7 +23,7 @@
 }
 
 func newBudget(limits Limits) budget {
-	return budget{ratio: limits.extraRatio, window: max(limits.extraWindow, time.Second)}
+	return budget{ratio: limits.extraRatio, slack: limits.extraSlack, window: max(limits.extraWindow, time.Second)}
 }
 
 // turn empties the buckets whose time is over and returns the present one.
@@ -41,15 +42,16 @@
 	b.firsts[b.turn(now)]++
 }
 
-// take counts a further send if the window allows it.
-func (b *budget) take(now time.Time) bool {
+// take counts a further send if the window allows it. The slack of the window
+// is shared by a number of VMs; half of it stays unused for VMs that start.
+func (b *budget) take(vms int, now time.Time) bool {
 	at := b.turn(now)
 	firsts, extras := 0, 0
 	for i := range budgetBuckets {
 		firsts += b.firsts[i]
 		extras += b.extras[i]
 	}
-	if float64(extras+1) > b.ratio*budgetMargin*float64(firsts) {
+	if float64(extras+1) > b.ratio*budgetMargin*float64(firsts)+b.slack/2/float64(vms) {
 		return false
 	}
 	b.extras[at]++
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -24,6 +24,7 @@
 // Limits are the bounds that all VMs keep to together.
 type Limits struct {
 	extraRatio   float64
+	extraSlack   float64
 	extraWindow  time.Duration
 	coldOverage  float64
 	coldSlack    float64
@@ -31,9 +32,9 @@
 }
 
 // NewLimits returns the bounds: further sends against first ones within
-// a window, and how far a cold target's rate may be exceeded for a second.
-func NewLimits(extraRatio float64, extraWindow time.Duration, coldOverage, coldSlack float64) Limits {
-	return Limits{extraRatio: extraRatio, extraWindow: extraWindow, coldOverage: coldOverage, coldSlack: coldSlack, coldHeadroom: 0.7}
+// a window with a slack on top, and how far a cold target's rate may be exceeded for a second.
+func NewLimits(extraRatio, extraSlack float64, extraWindow time.Duration, coldOverage, coldSlack float64) Limits {
+	return Limits{extraRatio: extraRatio, extraSlack: extraSlack, extraWindow: extraWindow, coldOverage: coldOverage, coldSlack: coldSlack, coldHeadroom: 0.7}
 }
 
 // Fleet is the targets of all services. It is safe for concurrent use.
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -71,7 +71,7 @@
 		}
 	}
 	t := f.choose(g, a.kind, a.avoid, now)
-	if t == nil || a.extra && !g.budget.take(now) {
+	if t == nil || a.extra && !g.budget.take(f.entryVMs, now) {
 		return nil, false
 	}
 	if !a.extra && len(a.avoid) == 0 {
--- a/core/process/placement/queue.go
+++ b/core/process/placement/queue.go
@@ -74,7 +74,7 @@
 			i++
 			continue
 		}
-		if w.extra && !g.budget.take(now) {
+		if w.extra && !g.budget.take(f.entryVMs, now) {
 			i++
 			continue
 		}
--- a/core/process/replica/node.go
+++ b/core/process/replica/node.go
@@ -8,6 +8,9 @@
 	// electionTimeout is the least time without a leader before an election;
 	// up to as much again is drawn on top.
 	electionTimeout = 600 * time.Millisecond
+	// startTimeout takes the place of electionTimeout after a start: a leader
+	// that works is heard sooner, and without one every caller waits.
+	startTimeout = 120 * time.Millisecond
 	// maxEntriesPerAppend bounds one append.
 	maxEntriesPerAppend = 256
 )
@@ -99,7 +102,7 @@
 		commit: memory.snapshot.index,
 	}
 	n.synced = n.log.lastIndex()
-	n.resetElection(now)
+	n.electionAt = now.Add(startTimeout + time.Duration(pick(int(startTimeout/time.Millisecond)))*time.Millisecond)
 	return n
 }
 
--- a/core/request/relay/relay.go
+++ b/core/request/relay/relay.go
@@ -25,10 +25,14 @@
 	// afterLeft is how long sends go on after their caller has left. Most end
 	// by then, and a connection outlives a response that was read whole.
 	afterLeft = 300 * time.Millisecond
-	// retryLeast and retrySpread say when a refused caller may come back where
-	// nothing is known about the wait.
-	retryLeast  = 30 * time.Millisecond
-	retrySpread = 60 * time.Millisecond
+	// retryLeast is the least time after which a refused caller comes back.
+	retryLeast = 20 * time.Millisecond
+	// retryUnknown is when it comes back where nothing tells when there will be
+	// room: most such states end within a few of these.
+	retryUnknown = 300 * time.Millisecond
+	// retryPart is the part of the time left that a caller may be sent away
+	// for, so that an answer can still come in time.
+	retryPart = 0.3
 )
 
 // Sender sends a request to a target and judges the response. It returns at
@@ -99,7 +103,7 @@
 	defer r.running.Add(-1)
 	table := r.table.Load()
 	if table == nil {
-		return NewRefused(result.NoConfiguration, "this VM has no routes yet").After(retryAfter(0)), Trace{}
+		return NewRefused(result.NoConfiguration, "this VM has no routes yet").After(retryAfter(retryUnknown, req)), Trace{}
 	}
 	trace := Trace{version: table.Version()}
 	route, ok := table.Match(req.host, req.path)
@@ -112,7 +116,7 @@
 		service = route.Pick(rand.Float64())
 	}
 	plan := NewPlan(route, service, req, wayBack)
-	if refusal, refused := r.admit(plan, req.arrived); refused {
+	if refusal, refused := r.admit(plan, req); refused {
 		return refusal, trace
 	}
 	q := &query{
@@ -127,14 +131,15 @@
 	q.run(ctx)
 	answer := q.state.Answer(time.Now())
 	if refused, is := answer.(Refused); is && refused.code.Execution() == result.NotRun {
-		answer = refused.After(retryAfter(r.wait(plan)))
+		answer = refused.After(retryAfter(r.wait(plan), req))
 	}
 	return answer, trace
 }
 
 // admit refuses a request at once where too few of its services have a target,
 // or where the queues are so long that no target would have it in time.
-func (r *Relay) admit(plan Plan, now time.Time) (Refused, bool) {
+func (r *Relay) admit(plan Plan, req *Request) (Refused, bool) {
+	now := req.arrived
 	if !now.Before(plan.end) {
 		return NewRefused(result.DeadlineTooShort, "no time is left for the request"), true
 	}
@@ -152,9 +157,9 @@
 	}
 	switch {
 	case usable < plan.least:
-		return NewRefused(result.NoTarget, "too few services have a target").After(retryAfter(0)), true
+		return NewRefused(result.NoTarget, "too few services have a target").After(retryAfter(retryUnknown, req)), true
 	case soon < plan.least:
-		return NewRefused(result.Overloaded, "the wait for a target would be too long").After(retryAfter(r.wait(plan))), true
+		return NewRefused(result.Overloaded, "the wait for a target would be too long").After(retryAfter(r.wait(plan), req)), true
 	}
 	return Refused{}, false
 }
@@ -169,9 +174,14 @@
 }
 
 // retryAfter returns when a refused caller may come back: when the queue ahead
-// is expected to be gone, spread so that not all come back at the same time.
-func retryAfter(wait time.Duration) time.Duration {
-	return wait + retryLeast + time.Duration(rand.Int64N(int64(retrySpread)))
+// is expected to be gone, within the time that the caller has, and spread so
+// that not all come back at the same time.
+func retryAfter(wait time.Duration, req *Request) time.Duration {
+	wait += retryLeast + time.Duration(rand.Int64N(int64(wait/2+retryLeast)))
+	if left := req.Allowed(); left > 0 {
+		wait = min(wait, time.Duration(retryPart*float64(left)))
+	}
+	return wait
 }
 
 // query is one request on its way.
--- a/core/request/relay/state.go
+++ b/core/request/relay/state.go
@@ -197,12 +197,13 @@
 	return out
 }
 
-// Done reports whether the answer may go out: all parts are settled, the time
+// Done reports whether the answer may go out: all parts are settled, too many
+// are lost for an answer, the time
 // of the answer has come and enough parts are in, the time is up, or nothing
 // could be sent for so long that the caller is better told so.
 func (s *State) Done(now time.Time) bool {
 	switch {
-	case s.open == 0 || !now.Before(s.plan.end):
+	case s.open == 0 || s.in+s.open < s.plan.least || !now.Before(s.plan.end):
 		return true
 	case !s.left && !now.Before(s.plan.patience):
 		return true
