--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -93,6 +93,8 @@
 	routes   replica.Routes
 	list     discovery.List
 	readAt   time.Time
+	// heard is when a VM of each data centre was last heard.
+	heard map[string]time.Time
 }
 
 // New returns the cluster of a process that knows the seeds; nothing runs yet.
@@ -106,6 +108,7 @@
 		seeds:    seeds,
 		controls: make(map[string]*known),
 		sessions: make(map[*session.Session]*remote),
+		heard:    make(map[string]time.Time),
 	}
 }
 
@@ -166,6 +169,23 @@
 	return most
 }
 
+// cutAfter is the time without a presence after which a data centre counts as
+// not heard: two presences and the way.
+const cutAfter = 1200 * time.Millisecond
+
+// CentresHeard returns the data centres of which a VM is heard.
+func (c *Cluster) CentresHeard(now time.Time) map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]bool)
+	for centre, at := range c.heard {
+		if now.Sub(at) < cutAfter {
+			out[centre] = true
+		}
+	}
+	return out
+}
+
 // entryVMs counts the entry VMs that this process hears. The caller holds the
 // lock.
 func (c *Cluster) entryVMs(now time.Time) int {
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -79,6 +79,7 @@
 	r.presence = p
 	r.known = true
 	r.heardAt = now
+	c.heard[p.Centre()] = now
 	if k := c.controls[p.Address()]; k != nil {
 		k.heardAt = now
 	}
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -42,7 +42,9 @@
 		return barred
 	case !t.room() || !t.coldRoom(now):
 		return barred
-	case now.Before(t.downTill):
+	case f.cut(t.instance.Centre()) && (now.Sub(t.triedAt) < trialInterval || len(t.inFlight) > 0):
+		return barred
+	case f.cut(t.instance.Centre()) || now.Before(t.downTill):
 		return down
 	case t.overdue(now):
 		return suspect
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -46,8 +46,8 @@
 	groups   map[string]*group
 	byID     map[string]*Target
 	out      map[string]bool
+	centres  map[string]*way
 	entryVMs int
-	retired  []string
 }
 
 // group is the targets of one service. The fleet's lock guards it.
@@ -69,6 +69,7 @@
 		groups:   make(map[string]*group),
 		byID:     make(map[string]*Target),
 		out:      make(map[string]bool),
+		centres:  make(map[string]*way),
 		entryVMs: 1,
 	}
 }
@@ -218,7 +219,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for _, t := range f.group(service).targets {
-		if !t.leaving && !f.out[t.instance.Centre()] {
+		if !t.leaving && !f.out[t.instance.Centre()] && !f.cut(t.instance.Centre()) {
 			n++
 		}
 	}
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -154,6 +154,7 @@
 	took := now.Sub(l.sentAt)
 	stats := l.target.group.latency(l.kind)
 	l.target.succeeded(took, stats.median)
+	l.fleet.wayTo(l.target.instance.Centre()).silences = 0
 	stats.add(took)
 	l.end(now)
 }
@@ -181,6 +182,7 @@
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	l.target.silent(now)
+	l.fleet.wayTo(l.target.instance.Centre()).silences++
 	l.end(now)
 }
 
--- a/core/request/relay/relay.go
+++ b/core/request/relay/relay.go
@@ -164,6 +164,27 @@
 	return Refused{}, false
 }
 
+// Servable reports whether the routes from shards have enough services with
+// a target that can be reached from here.
+func (r *Relay) Servable() bool {
+	table := r.table.Load()
+	if table == nil {
+		return false
+	}
+	for _, route := range table.Routes() {
+		usable := 0
+		for _, s := range route.Shards() {
+			if r.fleet.Usable(s) > 0 {
+				usable++
+			}
+		}
+		if len(route.Shards()) > 0 && usable < route.Least() {
+			return false
+		}
+	}
+	return true
+}
+
 // wait returns the longest expected wait among the services of a plan.
 func (r *Relay) wait(plan Plan) time.Duration {
 	longest := time.Duration(0)
@@ -243,6 +264,10 @@
 		q.send(n, lease, now)
 		return
 	}
+	if q.relay.fleet.Usable(q.state.plan.services[n]) == 0 {
+		q.state.GiveUp(n)
+		return
+	}
 	q.wait(n, q.ask(n), now)
 }
 
