--- /dev/null
+++ b/core/version/routing/routing_test.go
@@ -0,0 +1,99 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
+)
+
+func plain(name, host, prefix, service string) routing.Route {
+	return routing.NewRoute(name, host, prefix).WithTimes(time.Second, 0).
+		WithSplit([]routing.Share{routing.NewShare(service, 1)})
+}
+
+func table(routes ...routing.Route) *routing.Table {
+	return routing.NewTable(1, routes, []routing.Service{routing.NewService("s-1", ""), routing.NewService("s-2", "")}, routing.Limits{})
+}
+
+func TestTheLongestPrefixOfAHostMatches(t *testing.T) {
+	routes := table(
+		plain("short", "a.example", "/x/", "s-1"),
+		plain("long", "a.example", "/x/y/", "s-1"),
+		plain("other", "b.example", "/x/", "s-1"),
+	)
+	tests := []struct {
+		host, path, route string
+	}{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:8080", "/x/y/1", "long"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"c.example", "/x/1", ""},
+	}
+	for _, tt := range tests {
+		r, ok := routes.Match(tt.host, tt.path)
+		assert.Equal(t, ok, tt.route != "", "%s%s", tt.host, tt.path)
+		assert.Equal(t, r.Name(), tt.route, "%s%s", tt.host, tt.path)
+	}
+}
+
+func TestFaultsAreRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		routes []routing.Route
+		code   result.Code
+	}{
+		{"unknown service", []routing.Route{plain("r", "a", "/", "s-9")}, result.UnknownReference},
+		{"unknown shard", []routing.Route{routing.NewRoute("r", "a", "/").WithTimes(time.Second, 0).WithShards([]string{"s-1", "s-9"}, 1, 1)}, result.UnknownReference},
+		{"same place", []routing.Route{plain("r", "a", "/x/", "s-1"), plain("q", "A", "/x/", "s-2")}, result.DuplicateName},
+		{"no timeout", []routing.Route{plain("r", "a", "/", "s-1").WithTimes(0, time.Second)}, result.LimitOutOfRange},
+		{"weights of 0", []routing.Route{plain("r", "a", "/", "s-1").WithSplit([]routing.Share{routing.NewShare("s-1", 0), routing.NewShare("s-2", 0)})}, result.LimitOutOfRange},
+		{"a weight under 0", []routing.Route{plain("r", "a", "/", "s-1").WithSplit([]routing.Share{routing.NewShare("s-1", -1), routing.NewShare("s-2", 3)})}, result.LimitOutOfRange},
+		{"no service", []routing.Route{routing.NewRoute("r", "a", "/").WithTimes(time.Second, 0)}, result.MissingKey},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			err := table(tt.routes...).Check()
+			assert.Equal(t, result.CodeOf(err), tt.code, "%v", err)
+		})
+	}
+	assert.NilError(t, table(plain("r", "a", "/", "s-1"), plain("q", "a", "/x/", "s-2")).Check())
+}
+
+func TestASplitFollowsItsWeights(t *testing.T) {
+	r := routing.NewRoute("r", "a", "/").WithSplit([]routing.Share{
+		routing.NewShare("s-1", 3), routing.NewShare("s-0", 0), routing.NewShare("s-2", 1),
+	})
+	counts := make(map[string]int)
+	for i := range 1000 {
+		counts[r.Pick(float64(i)/1000)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"s-1": 750, "s-2": 250})
+	assert.Equal(t, r.Pick(1), "s-2")
+}
+
+func TestTheLeastNumberOfShards(t *testing.T) {
+	tests := []struct {
+		shards int
+		share  float64
+		least  int
+	}{{10, 0.89, 9}, {10, 0.75, 8}, {100, 0.89, 89}, {36, 0.95, 35}, {10, 0, 1}, {3, 1, 3}}
+	for _, tt := range tests {
+		r := routing.NewRoute("r", "a", "/").WithShards(make([]string, tt.shards), 1, tt.share)
+		assert.Equal(t, r.Least(), tt.least, "%g of %d", tt.share, tt.shards)
+	}
+}
+
+func ExampleTable_Match() {
+	routes := table(plain("search", "shop.example", "/search/", "s-1"))
+	r, ok := routes.Match("shop.example", "/search/shoes")
+	fmt.Println(r.Name(), ok)
+	// Output: search true
+}
