--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -344,3 +344,12 @@
 	}
 	return true
 }
+
+// Votes reports whether this VM counts in the log.
+func (c *Cluster) Votes() bool {
+	if c.control == nil {
+		return false
+	}
+	s := c.control.Status()
+	return s.Voters().Has(s.Member().ID())
+}
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -30,7 +30,7 @@
 	// compactBytes is the size of applied entries after which it is, too.
 	compactBytes = 1 << 20
 	// joinInterval is the time between two requests to be taken in.
-	joinInterval = 500 * time.Millisecond
+	joinInterval = 250 * time.Millisecond
 )
 
 // Sender sends a message of the log to the VM of its receiver.
