--- /dev/null
+++ b/core/connection/upstream/upstream_test.go
@@ -0,0 +1,115 @@
+package upstream_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/upstream"
+)
+
+// server accepts connections and keeps them.
+type server struct {
+	socket net.Listener
+	mu     sync.Mutex
+	conns  []net.Conn
+}
+
+func (s *server) run() {
+	for {
+		conn, err := s.socket.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns = append(s.conns, conn)
+		s.mu.Unlock()
+	}
+}
+
+func (s *server) last() net.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) == 0 {
+		return nil
+	}
+	return s.conns[len(s.conns)-1]
+}
+
+func newServer(t *testing.T) *server {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &server{socket: socket}
+	go s.run()
+	t.Cleanup(func() { _ = socket.Close() })
+	return s
+}
+
+func get(t *testing.T, p *upstream.Pool, s *server, within time.Duration, now time.Time) *upstream.Conn {
+	t.Helper()
+	c, err := p.Get(context.Background(), s.socket.Addr().String(), within, now)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.last() == nil {
+			return poll.Continue("not accepted yet")
+		}
+		return poll.Success()
+	})
+	return c
+}
+
+func TestWhenAConnectionIsUsedAgain(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name   string
+		spoil  func(s *server, c *upstream.Conn)
+		within time.Duration
+		later  time.Duration
+		again  bool
+	}{
+		{"idle", func(*server, *upstream.Conn) {}, 0, time.Second, true},
+		{"closed by the target", func(s *server, _ *upstream.Conn) { _ = s.last().Close() }, 0, time.Second, false},
+		{"bytes after the response", func(s *server, _ *upstream.Conn) { _, _ = s.last().Write([]byte("HTTP/1.1 200 OK\r\n")) }, 0, time.Second, false},
+		{"idle for longer than the target keeps it", func(_ *server, c *upstream.Conn) { c.KeepFor(4 * time.Second) }, 0, 3500 * time.Millisecond, false},
+		{"idle for shorter", func(_ *server, c *upstream.Conn) { c.KeepFor(4 * time.Second) }, 0, 2 * time.Second, true},
+		{"not used lately enough to send once", func(*server, *upstream.Conn) {}, time.Second, 2 * time.Second, false},
+		{"used lately enough to send once", func(*server, *upstream.Conn) {}, time.Second, 500 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t)
+			p := upstream.NewPool()
+			first := get(t, p, s, 0, now)
+			tt.spoil(s, first)
+			first.Release(now)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				again := get(t, p, s, tt.within, now.Add(tt.later))
+				if (again == first) == tt.again {
+					return poll.Success()
+				}
+				// What was spoiled arrives a little later.
+				again.Release(now)
+				return poll.Continue("used again: %t", again == first)
+			}, poll.WithTimeout(3*time.Second), poll.WithDelay(5*time.Millisecond))
+		})
+	}
+}
+
+func TestConnectionsToAnAddressThatIsGoneAreClosed(t *testing.T) {
+	s := newServer(t)
+	p := upstream.NewPool()
+	now := time.Now()
+	idle := get(t, p, s, 0, now)
+	used := get(t, p, s, 0, now)
+	idle.Release(now)
+	p.Close([]string{s.socket.Addr().String()})
+	used.Release(now)
+	assert.Equal(t, p.Open(), int64(0))
+	assert.Assert(t, get(t, p, s, 0, now) != idle)
+}
--- /dev/null
+++ b/core/process/control/control_test.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mulberrydale/mulberrydale/core/process/replica"
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+// alone is a control VM without others.
+type alone struct{}
+
+func (alone) SendReplica(string, []byte)             {}
+func (alone) Others(time.Time) map[string]Candidate { return nil }
+func (alone) MayFound() bool                        { return true }
+
+type loop struct{ control *Control }
+
+func (l *loop) run(ctx context.Context) { _ = l.control.Run(ctx) }
+
+func startAlone(t *testing.T, folder string) *Control {
+	t.Helper()
+	c, err := Open(folder, "vm-1", nil, 1, alone{}, alone{}, zap.NewNop(), time.Now())
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go (&loop{control: c}).run(ctx)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !c.Status().Leads() {
+			return poll.Continue("no leader yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+	return c
+}
+
+func publish(c *Control, version uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := c.Propose(ctx, replica.NewPublish(version, []byte("text")))
+	return err
+}
+
+// A journal that refuses writes must not end the process: the VM leaves the
+// log, says so, and comes back once it can write, with all it acknowledged.
+func TestAJournalThatRefusesWrites(t *testing.T) {
+	folder := t.TempDir()
+	c := startAlone(t, folder)
+	assert.NilError(t, publish(c, 1))
+	// A closed file refuses writes as a full disk does, and a folder in the way
+	// of the new journal keeps it from being written anew.
+	assert.NilError(t, c.journal.Close())
+	blocked := folder + "/journal.next"
+	assert.NilError(t, os.Mkdir(blocked, 0o700))
+	err := publish(c, 2)
+	assert.Equal(t, result.CodeOf(err), result.JournalUnusable, "%v", err)
+	assert.Assert(t, !c.Status().Leads())
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err = c.Read(ctx)
+	assert.Equal(t, result.CodeOf(err), result.NoQuorum, "%v", err)
+	assert.NilError(t, os.Remove(blocked))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := publish(c, 3); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+	routes, err := c.Read(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, routes.Version(), uint64(3))
+}
+
+func TestAReadSeesWhatWasAcknowledged(t *testing.T) {
+	c := startAlone(t, t.TempDir())
+	for version := range uint64(20) {
+		assert.NilError(t, publish(c, version+1))
+		routes, err := c.Read(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, routes.Version(), version+1)
+	}
+}
+
+func TestTheJournalStaysShort(t *testing.T) {
+	folder := t.TempDir()
+	c := startAlone(t, folder)
+	document := make([]byte, 100<<10)
+	for version := range uint64(60) {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		_, err := c.Propose(ctx, replica.NewPublish(version+1, document))
+		cancel()
+		assert.NilError(t, err)
+	}
+	info, err := os.Stat(folder + "/journal")
+	assert.NilError(t, err)
+	assert.Assert(t, info.Size() < 3*compactBytes, "%d bytes", info.Size())
+}
