--- a/core/connection/session/session.go
+++ b/core/connection/session/session.go
@@ -22,7 +22,7 @@
 	// writeTimeout bounds one write; a link that can't take it is closed.
 	writeTimeout = 2 * time.Second
 	minRedial    = 50 * time.Millisecond
-	maxRedial    = 700 * time.Millisecond
+	maxRedial    = 250 * time.Millisecond
 	// silence is the time without a frame after which a link is closed. Beats
 	// come several times as often.
 	silence = 1800 * time.Millisecond
@@ -156,7 +156,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		d.connect(ctx)
-		if time.Since(began) > 2*maxRedial {
+		if time.Since(began) > dialTimeout {
 			wait = minRedial
 		}
 		select {
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -22,7 +22,7 @@
 
 const (
 	// beatInterval is the time between two presences on a session.
-	beatInterval = 500 * time.Millisecond
+	beatInterval = 400 * time.Millisecond
 	// aliveFor is how long a VM counts as heard after its last presence.
 	aliveFor = 1800 * time.Millisecond
 	// forgetAfter is how long an address is dialled without an answer.
@@ -171,7 +171,7 @@
 
 // cutAfter is the time without a presence after which a data centre counts as
 // not heard: two presences and the way.
-const cutAfter = 1200 * time.Millisecond
+const cutAfter = 900 * time.Millisecond
 
 // CentresHeard returns the data centres of which a VM is heard.
 func (c *Cluster) CentresHeard(now time.Time) map[string]bool {
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -108,7 +108,7 @@
 }
 
 // ExpectedWait returns how long a request would wait for room at a service.
-func (f *Fleet) ExpectedWait(service string, priority int) time.Duration {
+func (f *Fleet) ExpectedWait(service string, priority int, now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := &f.group(service).queue
@@ -118,7 +118,7 @@
 			ahead++
 		}
 	}
-	return time.Duration(ahead) * q.gap
+	return q.expected(ahead, now)
 }
 
 // Late returns the time after which a response of a kind counts as late, and
@@ -133,6 +133,7 @@
 // end removes the lease. The caller holds the lock.
 func (l *Lease) end(now time.Time) {
 	delete(l.target.inFlight, l)
+	l.target.group.queue.ended(now)
 	l.fleet.handOver(l.target.group, now)
 }
 
--- a/core/process/placement/queue.go
+++ b/core/process/placement/queue.go
@@ -21,9 +21,9 @@
 // deadline first among equals.
 type queue struct {
 	waiting []*Waiter
-	// gaps is the recent time between two requests that left the queue.
-	gap    time.Duration
-	leftAt time.Time
+	// gap is the recent time between two requests that ended at the service.
+	gap   time.Duration
+	endAt time.Time
 }
 
 func (w *Waiter) before(other *Waiter) bool {
@@ -49,16 +49,32 @@
 	}
 }
 
-// gapWeight is the weight of a new gap between two departures.
-const gapWeight = 0.2
+const (
+	// gapWeight is the weight of a new gap between two ends.
+	gapWeight = 0.1
+	// mostGap bounds one gap; a longer one says that nothing was asked.
+	mostGap = 100 * time.Millisecond
+)
 
-// departed notes that a request left the queue.
-func (q *queue) departed(now time.Time) {
-	if !q.leftAt.IsZero() {
-		gap := min(now.Sub(q.leftAt), time.Second)
+// ended notes that a request at the service ended, which makes room.
+func (q *queue) ended(now time.Time) {
+	if !q.endAt.IsZero() {
+		gap := min(now.Sub(q.endAt), mostGap)
 		q.gap += time.Duration(gapWeight * float64(gap-q.gap))
 	}
-	q.leftAt = now
+	q.endAt = now
+}
+
+// expected returns how long a request waits that comes after a number of
+// others: each end of a request lets one of them go.
+//
+// For example, with an end each 8 ms the fifth in the queue waits 40 ms.
+func (q *queue) expected(ahead int, now time.Time) time.Duration {
+	if ahead == 0 {
+		return 0
+	}
+	gap := max(q.gap, now.Sub(q.endAt)/2)
+	return time.Duration(ahead) * gap
 }
 
 // handOver gives room that has come free to those that wait. The caller holds
@@ -83,7 +99,6 @@
 		case w.notify <- lease:
 			w.done = true
 			g.queue.waiting = append(g.queue.waiting[:i], g.queue.waiting[i+1:]...)
-			g.queue.departed(now)
 		default:
 			delete(t.inFlight, lease)
 			i++
--- a/core/request/relay/relay.go
+++ b/core/request/relay/relay.go
@@ -131,7 +131,7 @@
 	q.run(ctx)
 	answer := q.state.Answer(time.Now())
 	if refused, is := answer.(Refused); is && refused.code.Execution() == result.NotRun {
-		answer = refused.After(retryAfter(r.wait(plan), req))
+		answer = refused.After(retryAfter(r.wait(plan, time.Now()), req))
 	}
 	return answer, trace
 }
@@ -151,7 +151,7 @@
 			continue
 		}
 		usable++
-		if r.fleet.ExpectedWait(s, plan.route.Priority()) <= left {
+		if r.fleet.ExpectedWait(s, plan.route.Priority(), now) <= left {
 			soon++
 		}
 	}
@@ -159,7 +159,7 @@
 	case usable < plan.least:
 		return NewRefused(result.NoTarget, "too few services have a target").After(retryAfter(retryUnknown, req)), true
 	case soon < plan.least:
-		return NewRefused(result.Overloaded, "the wait for a target would be too long").After(retryAfter(r.wait(plan), req)), true
+		return NewRefused(result.Overloaded, "the wait for a target would be too long").After(retryAfter(r.wait(plan, time.Now()), req)), true
 	}
 	return Refused{}, false
 }
@@ -186,10 +186,10 @@
 }
 
 // wait returns the longest expected wait among the services of a plan.
-func (r *Relay) wait(plan Plan) time.Duration {
+func (r *Relay) wait(plan Plan, now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for _, s := range plan.services {
-		longest = max(longest, r.fleet.ExpectedWait(s, plan.route.Priority()))
+		longest = max(longest, r.fleet.ExpectedWait(s, plan.route.Priority(), now))
 	}
 	return longest
 }
