--- a/core/connection/peer/presencecodec.go
+++ b/core/connection/peer/presencecodec.go
@@ -18,10 +18,16 @@
 	enc.Bool(p.founded)
 	enc.Uint(p.listNumber)
 	enc.Duration(p.listAge)
+	enc.Uint(uint64(len(p.findings)))
+	for _, f := range p.findings {
+		enc.String(f.ID())
+		enc.Bool(f.Bad())
+		enc.Duration(f.Age())
+	}
 }
 
 func decodePresence(dec *frame.Decoder) Presence {
-	return Presence{
+	p := Presence{
 		vm:         dec.String(),
 		address:    dec.String(),
 		centre:     dec.String(),
@@ -35,6 +41,10 @@
 		listNumber: dec.Uint(),
 		listAge:    dec.Duration(),
 	}
+	for range dec.Len() {
+		p.findings = append(p.findings, discovery.NewFinding(dec.String(), dec.Bool(), dec.Duration()))
+	}
+	return p
 }
 
 func encodeTargetList(enc *frame.Encoder, t TargetList) {
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -81,6 +81,7 @@
 	control  *control.Control
 	reader   ListReader
 	calls    *calls
+	source   FindingSource
 
 	// observing orders the calls of the observer.
 	observing sync.Mutex
@@ -93,6 +94,8 @@
 	routes   replica.Routes
 	list     discovery.List
 	readAt   time.Time
+	// findings is what entry VMs found of targets, on a control VM.
+	findings map[string]finding
 	// heard is when a VM of each data centre was last heard.
 	heard map[string]time.Time
 }
@@ -108,6 +111,7 @@
 		seeds:    seeds,
 		controls: make(map[string]*known),
 		sessions: make(map[*session.Session]*remote),
+		findings: make(map[string]finding),
 		heard:    make(map[string]time.Time),
 	}
 }
@@ -294,14 +298,37 @@
 func (c *Cluster) beat(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	payload := peer.Encode(c.presence(now))
+	if c.control == nil {
+		c.beatEntry(now)
+		return
+	}
+	p := c.presence(now)
+	plain := peer.Encode(p)
+	telling := peer.Encode(p.WithFindings(c.latestFindings(now)))
 	for s, r := range c.sessions {
-		if c.control == nil || !r.known || c.sendList(s, r, now) {
-			s.Send(payload)
+		if r.known && !c.sendList(s, r, now) {
+			continue
+		}
+		if r.known && c.tells(r) {
+			s.Send(telling)
+		} else {
+			s.Send(plain)
 		}
 	}
 }
 
+// beatEntry sends the presence of an entry VM. The caller holds the lock.
+func (c *Cluster) beatEntry(now time.Time) {
+	p := c.presence(now)
+	if c.source != nil {
+		p = p.WithFindings(c.source.Findings(now))
+	}
+	payload := peer.Encode(p)
+	for s := range c.sessions {
+		s.Send(payload)
+	}
+}
+
 // adoptRoutes takes routes over if they are newer than what is known, and
 // reports whether they were.
 func (c *Cluster) adoptRoutes(routes replica.Routes, now time.Time) bool {
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -90,6 +90,7 @@
 		c.log.Info("linked to a control VM", zap.String("vm", p.VM()), zap.String("address", p.Address()), zap.Uint64("revision", p.Revision()))
 	}
 	c.learn(append(p.Controls(), p.Address()), now)
+	c.receiveFindings(p, now)
 	if !mirror.Empty() {
 		c.adoptList(mirror, now)
 	}
--- a/core/process/discovery/discovery.go
+++ b/core/process/discovery/discovery.go
@@ -156,3 +156,25 @@
 	}
 	return NewList(append(out, d.changed...), number, readAt)
 }
+
+// Finding is what the requests of a VM showed of a target.
+type Finding struct {
+	id  string
+	bad bool
+	age time.Duration
+}
+
+// NewFinding returns a finding of an age: whether the target is slow, fails or
+// is silent, or answers well again.
+func NewFinding(id string, bad bool, age time.Duration) Finding {
+	return Finding{id: id, bad: bad, age: age}
+}
+
+// ID names the start of the target.
+func (f Finding) ID() string { return f.id }
+
+// Bad reports whether the target is slow, fails or is silent.
+func (f Finding) Bad() bool { return f.bad }
+
+// Age returns how long ago the target showed it.
+func (f Finding) Age() time.Duration { return f.age }
--- a/core/process/placement/budget.go
+++ b/core/process/placement/budget.go
@@ -8,6 +8,9 @@
 	// budgetMargin keeps a VM under its part of what is allowed, because the
 	// window of whoever counts may begin at any moment.
 	budgetMargin = 0.9
+	// slackMargin keeps a part of the slack for VMs that have just started and
+	// are not counted yet.
+	slackMargin = 0.7
 )
 
 // budget bounds the sends beyond the first of each request, within a window
@@ -43,7 +46,7 @@
 }
 
 // take counts a further send if the window allows it. The slack of the window
-// is shared by a number of VMs; half of it stays unused for VMs that start.
+// is shared by a number of VMs.
 func (b *budget) take(vms int, now time.Time) bool {
 	at := b.turn(now)
 	firsts, extras := 0, 0
@@ -51,7 +54,7 @@
 		firsts += b.firsts[i]
 		extras += b.extras[i]
 	}
-	if float64(extras+1) > b.ratio*budgetMargin*float64(firsts)+b.slack/2/float64(vms) {
+	if float64(extras+1) > budgetMargin*b.ratio*float64(firsts)+slackMargin*b.slack/float64(vms) {
 		return false
 	}
 	b.extras[at]++
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -42,19 +42,17 @@
 		return barred
 	case !t.room() || !t.coldRoom(now):
 		return barred
-	case f.cut(t.instance.Centre()) && (now.Sub(t.triedAt) < trialInterval || len(t.inFlight) > 0):
+	case f.cut(t.instance.Centre()) && !f.trialDue(t, now):
 		return barred
 	case f.cut(t.instance.Centre()) || now.Before(t.downTill):
 		return down
 	case t.overdue(now):
 		return suspect
-	case t.failures > 0 || t.speed > slowSpeed || t.errors > manyErrors:
-		if now.Sub(t.triedAt) > trialInterval && len(t.inFlight) == 0 {
-			return sound
-		}
-		if t.failures > 0 {
-			return suspect
-		}
+	case f.trialDue(t, now):
+		return sound
+	case t.failures > 0:
+		return suspect
+	case t.bad() || t.toldBad(now):
 		return doubtful
 	}
 	return sound
@@ -67,7 +65,7 @@
 		median = unknownTime
 	}
 	speed := t.speed
-	if now.Sub(t.triedAt) > trialInterval && len(t.inFlight) == 0 {
+	if f.trialDue(t, now) {
 		speed = min(speed, 1)
 	}
 	run := time.Duration(float64(median) * speed)
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -15,6 +15,8 @@
 	// growth is how many more VMs than are heard may share a target's
 	// connections: some may just be starting.
 	growth = 1.25
+	// fewerAfter is how long VMs count that are not heard any more.
+	fewerAfter = 20 * time.Second
 	// unlimited is the share of a target that declares no limit.
 	unlimited = 64
 	// defaultSlots is assumed of a target that does not tell its slots.
@@ -48,6 +50,8 @@
 	out      map[string]bool
 	centres  map[string]*way
 	entryVMs int
+	// entryVMsAt is when at least as many were last heard.
+	entryVMsAt time.Time
 }
 
 // group is the targets of one service. The fleet's lock guards it.
@@ -127,11 +131,16 @@
 	return max(1, int(all/float64(g.fleet.entryVMs)/2))
 }
 
-// SetEntryVMs takes over the number of VMs that share the targets.
-func (f *Fleet) SetEntryVMs(n int) {
+// SetEntryVMs takes over the number of VMs that share the targets. Fewer count
+// only after a while: those that are not heard may still send.
+func (f *Fleet) SetEntryVMs(n int, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if n < f.entryVMs && now.Sub(f.entryVMsAt) < fewerAfter {
+		return
+	}
 	f.entryVMs = max(n, 1)
+	f.entryVMsAt = now
 }
 
 // SetServices takes over the declared services.
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -152,6 +152,7 @@
 func (l *Lease) Succeeded(now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
+	l.target.seenAt = now
 	took := now.Sub(l.sentAt)
 	stats := l.target.group.latency(l.kind)
 	l.target.succeeded(took, stats.median)
@@ -164,6 +165,7 @@
 func (l *Lease) Failed(now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
+	l.target.seenAt = now
 	l.target.failed()
 	l.end(now)
 }
@@ -173,6 +175,7 @@
 func (l *Lease) Refused(leaving bool, now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
+	l.target.seenAt = now
 	l.target.failed()
 	l.target.leaving = l.target.leaving || leaving
 	l.end(now)
@@ -182,6 +185,7 @@
 func (l *Lease) Silent(now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
+	l.target.seenAt = now
 	l.target.silent(now)
 	l.fleet.wayTo(l.target.instance.Centre()).silences++
 	l.end(now)
@@ -193,6 +197,7 @@
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	if !l.lateAt.IsZero() && now.After(l.lateAt) {
+		l.target.seenAt = now
 		l.target.succeeded(now.Sub(l.sentAt), l.target.group.latency(l.kind).median)
 	}
 	l.end(now)
--- a/core/process/placement/placement_test.go
+++ b/core/process/placement/placement_test.go
@@ -164,7 +164,7 @@
 	for _, vms := range []int{1, 3, 6, 9, 20, 60} {
 		f := fleet(service(), "dc-1")
 		f.SetTargets(discovery.NewList([]discovery.Instance{discovery.NewInstance("i-0", "s-1", "10.0.0.1:80", "dc-1", 100)}, 2, start), start)
-		f.SetEntryVMs(vms)
+		f.SetEntryVMs(vms, start)
 		open := 0
 		for {
 			if _, ok := f.Acquire(placement.NewAsk("s-1", "k"), start); !ok {
@@ -183,7 +183,7 @@
 	f := fleet(declared, "dc-1")
 	f.SetTargets(discovery.NewList([]discovery.Instance{
 		discovery.NewInstance("i-9", "s-1", "10.0.0.9:80", "dc-1", 100).WithColdFor(3 * time.Second)}, 2, start), start)
-	f.SetEntryVMs(vms)
+	f.SetEntryVMs(vms, start)
 	var sent []time.Time
 	for n := range 2000 {
 		now := start.Add(time.Duration(n) * time.Millisecond)
@@ -211,7 +211,7 @@
 		fleets := make([]*placement.Fleet, vms)
 		for i := range fleets {
 			fleets[i] = fleet(service().WithMaxConnections(0), "dc-1", "dc-1", "dc-1")
-			fleets[i].SetEntryVMs(vms)
+			fleets[i].SetEntryVMs(vms, start)
 		}
 		now := start
 		for range rapid.IntRange(50, 400).Draw(rt, "requests") {
@@ -301,6 +301,44 @@
 	assert.Equal(t, f.Usable("s-1"), 2)
 }
 
+// One VM finds a target slow; another one that has not met it yet avoids it,
+// until it is found to answer well again.
+func TestFindingsOfOneVMSpareTheOthers(t *testing.T) {
+	one := fleet(service(), "dc-1", "dc-1", "dc-1")
+	other := fleet(service(), "dc-1", "dc-1", "dc-1")
+	one.SetEntryVMs(60, start)
+	other.SetEntryVMs(60, start)
+	slow := true
+	took := func(id string) time.Duration {
+		if slow && id == "i-0" {
+			return 100 * time.Millisecond
+		}
+		return 10 * time.Millisecond
+	}
+	now := start
+	for range 300 {
+		now = now.Add(5 * time.Millisecond)
+		answer(t, one, now, took)
+		if len(one.Findings(now.Add(100*time.Millisecond))) > 0 {
+			break
+		}
+	}
+	now = now.Add(100 * time.Millisecond)
+	other.TakeFindings(one.Findings(now), now)
+	for range 100 {
+		now = now.Add(5 * time.Millisecond)
+		assert.Assert(t, answer(t, other, now, took) != "i-0")
+	}
+	other.TakeFindings([]discovery.Finding{discovery.NewFinding("i-0", false, 0)}, now)
+	counts := make(map[string]int)
+	slow = false
+	for range 200 {
+		now = now.Add(5 * time.Millisecond)
+		counts[answer(t, other, now, took)]++
+	}
+	assert.Assert(t, counts["i-0"] > 20, "%v", counts)
+}
+
 func ExampleFleet_Acquire() {
 	f := fleet(service(), "dc-1")
 	l, ok := f.Acquire(placement.NewAsk("s-1", "search"), start)
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -49,6 +49,9 @@
 	errors float64
 	// triedAt is when a request was last sent.
 	triedAt time.Time
+	// seenAt is when a request from here last showed how the target does.
+	seenAt time.Time
+	told   told
 	// downTill is the end of the pause after silence or a refused connection.
 	downTill time.Time
 	failures int
--- a/core/request/relay/replay_test.go
+++ b/core/request/relay/replay_test.go
@@ -237,7 +237,7 @@
 	table := routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(), routing.Limits{})
 	for range n {
 		f := placement.NewFleet("dc-1", placement.NewLimits(0.2, 20, 10*time.Second, 1.5, 5))
-		f.SetEntryVMs(n)
+		f.SetEntryVMs(n, time.Now())
 		r := New(f, w)
 		r.SetTable(table)
 		f.SetTargets(list, time.Now())
