--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -94,6 +94,8 @@
 	routes   replica.Routes
 	list     discovery.List
 	readAt   time.Time
+	// mostEntryVMs is the number of entry VMs that was last told.
+	mostEntryVMs int
 	// findings is what entry VMs found of targets, on a control VM.
 	findings map[string]finding
 	// heard is when a VM of each data centre was last heard.
--- a/core/process/cluster/loops.go
+++ b/core/process/cluster/loops.go
@@ -21,9 +21,11 @@
 	// before it.
 	readerStep = 700 * time.Millisecond
 	// entryPatience is how long an entry VM waits for the control VMs before
-	// it reads the list itself; up to half as much again is drawn on top, so
-	// that not all of them read at once.
+	// it reads the list itself.
 	entryPatience = 3 * time.Second
+	// entrySpread is how much longer for each entry VM that was heard: all of
+	// them share the rate of readings that the list bears.
+	entrySpread = 100 * time.Millisecond
 	// readPoll is the time between two looks at the age of the list.
 	readPoll = 200 * time.Millisecond
 	// readTimeout bounds one reading of the whole list.
@@ -90,28 +92,29 @@
 func (l *readLoop) run(ctx context.Context) {
 	ticker := time.NewTicker(readPoll)
 	defer ticker.Stop()
-	spread := time.Duration(rand.Int64N(int64(entryPatience / 2)))
+	draw := rand.Float64()
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		if l.cluster.readDue(spread, time.Now()) {
+		if l.cluster.readDue(draw, time.Now()) {
 			l.cluster.readList(ctx)
 		}
 	}
 }
 
 // readDue reports whether this VM should read the list now: the leader first,
-// the other control VMs one after another, entry VMs last.
-func (c *Cluster) readDue(spread time.Duration, now time.Time) bool {
+// the other control VMs one after another, entry VMs last. The draw spreads
+// the entry VMs.
+func (c *Cluster) readDue(draw float64, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Sub(c.readAt) < readInterval {
 		return false
 	}
-	wait := entryPatience + spread
+	wait := entryPatience + time.Duration(draw*float64(entrySpread)*float64(c.mostEntryVMs))
 	if c.control != nil {
 		wait = readInterval + time.Duration(c.readerRank(now))*readerStep
 	}
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -79,6 +79,9 @@
 	r.presence = p
 	r.known = true
 	r.heardAt = now
+	if c.control == nil {
+		c.mostEntryVMs = max(1, p.EntryVMs())
+	}
 	c.heard[p.Centre()] = now
 	if k := c.controls[p.Address()]; k != nil {
 		k.heardAt = now
