Decisions of a request stand apart from what drives them

core/request/relay keeps the decisions (plan, state, answer, merge) and reads no clock; core/process/dispatch drives them.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 # The worst loads in simulated time, beside the plain way.
 replay:
-	REPLAY=1 go test -count=1 -v -run TestReplays ./core/request/relay | grep -v -e '^---' -e '^===' -e '^ *---'
+	REPLAY=1 go test -count=1 -v -run TestReplays ./core/process/dispatch | grep -v -e '^---' -e '^===' -e '^ *---'
 
 # The program for the users' platform, as deploy/system.toml builds it.
 platform:
--- a/core/request/relay/replay_test.go
+++ b/core/process/dispatch/replay_test.go
@@ -1,4 +1,4 @@
-package relay
+package dispatch
 
 import (
 	"context"
@@ -14,11 +14,12 @@
 
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
+	"github.com/mulberrydale/mulberrydale/core/request/relay"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
-// The replays run the whole relay in simulated time against simulated targets,
+// The replays run the whole dispatcher in simulated time against simulated targets,
 // and the same load the plain way: a random target, no second send, no refusal.
 
 const (
@@ -63,22 +64,22 @@
 }
 
 // serve runs a request: it waits for a slot, works and pauses.
-func (s *simulated) serve(ctx context.Context) Outcome {
+func (s *simulated) serve(ctx context.Context) relay.Outcome {
 	now := time.Now()
 	faulty := s.faulty(now)
 	switch {
 	case faulty && s.fault.gone:
-		return NewUnsent(result.New(result.Unreachable, "refused"))
+		return relay.NewUnsent(result.New(result.Unreachable, "refused"))
 	case faulty && s.fault.hang:
 		<-ctx.Done()
-		return NewLost(ctx.Err())
+		return relay.NewLost(ctx.Err())
 	}
 	s.mu.Lock()
 	shed := faulty && s.rng.Float64() < s.fault.shed || len(s.waiting) >= replayQueue
 	if shed {
-		load := NewLoad(s.running, len(s.waiting))
+		load := relay.NewLoad(s.running, len(s.waiting))
 		s.mu.Unlock()
-		return NewDeclined(load, false, "full")
+		return relay.NewDeclined(load, false, "full")
 	}
 	if s.running >= replaySlots {
 		turn := make(chan struct{})
@@ -87,7 +88,7 @@
 		select {
 		case <-turn:
 		case <-ctx.Done():
-			return NewLost(ctx.Err())
+			return relay.NewLost(ctx.Err())
 		}
 		s.mu.Lock()
 	} else {
@@ -104,20 +105,20 @@
 	time.Sleep(work)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	load := NewLoad(s.running-1, len(s.waiting))
+	load := relay.NewLoad(s.running-1, len(s.waiting))
 	if len(s.waiting) > 0 {
 		close(s.waiting[0])
 		s.waiting = s.waiting[1:]
 	} else {
 		s.running--
 	}
-	return NewAnswered(NewResponse(200, nil, nil, s.id), load, false)
+	return relay.NewAnswered(relay.NewResponse(200, nil, nil, s.id), load, false)
 }
 
 // world is all targets of a replay; it sends attempts to them.
 type world struct{ targets map[string]*simulated }
 
-func (w *world) Send(ctx context.Context, a Attempt, _ time.Time) Outcome {
+func (w *world) Send(ctx context.Context, a relay.Attempt, _ time.Time) relay.Outcome {
 	return w.targets[a.Instance().ID()].serve(ctx)
 }
 
@@ -167,28 +168,28 @@
 
 // add counts an answer: the square of the share of the shards within the
 // objective, a twentieth of it later.
-func (t *tally) add(answer Answer, trace Trace, took time.Duration) {
+func (t *tally) add(answer relay.Answer, trace Trace, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.asked++
 	t.hedges += trace.Hedges()
 	t.retries += trace.Retries()
 	switch a := answer.(type) {
-	case Merged:
+	case relay.Merged:
 		share := float64(replayShards-a.Missing()) / replayShards
 		credit := share * share
 		if took > 95*time.Millisecond {
 			credit /= 20
 		}
 		t.credit += credit
-	case Refused:
+	case relay.Refused:
 		if a.Code().Execution() == result.NotRun {
 			t.refused++
 		} else {
 			t.failed++
 		}
 		t.held = max(t.held, took)
-	case Relayed:
+	case relay.Relayed:
 	}
 }
 
@@ -198,7 +199,7 @@
 }
 
 // answerer answers one request of a replay.
-type answerer func(ctx context.Context, r *Request) (Answer, Trace)
+type answerer func(ctx context.Context, r *relay.Request) (relay.Answer, Trace)
 
 // play sends requests at a rate and counts the answers.
 func play(rate float64, seed uint64, answer answerer) *tally {
@@ -208,7 +209,7 @@
 	began := time.Now()
 	for time.Since(began) < replayTime {
 		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
-		r := NewRequest("id", "GET", "h", "/", "/", nil, nil, time.Now()).Within(600 * time.Millisecond)
+		r := relay.NewRequest("id", "GET", "h", "/", "/", nil, nil, time.Now()).Within(600 * time.Millisecond)
 		all.Add(1)
 		go (&caller{request: r, answer: answer, tally: &t, done: &all}).run()
 	}
@@ -219,7 +220,7 @@
 }
 
 type caller struct {
-	request *Request
+	request *relay.Request
 	answer  answerer
 	tally   *tally
 	done    *sync.WaitGroup
@@ -228,29 +229,29 @@
 func (c *caller) run() {
 	defer c.done.Done()
 	answer, trace := c.answer(context.Background(), c.request)
-	c.tally.add(answer, trace, time.Since(c.request.arrived))
+	c.tally.add(answer, trace, time.Since(c.request.Arrived()))
 }
 
-// entryVMs spreads requests over relays that know nothing of each other.
+// entryVMs spreads requests over dispatchers that know nothing of each other.
 func entryVMs(n int, w *world, list discovery.List, rate float64) answerer {
-	var relays []*Relay
+	var dispatchers []*Dispatcher
 	table := routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(), routing.Limits{})
 	for range n {
 		f := placement.NewFleet("dc-1", placement.NewLimits(0.2, 20, 10*time.Second, 1.5, 5))
 		f.SetEntryVMs(n, time.Now())
-		r := New(f, w)
-		r.SetTable(table)
+		d := New(f, w)
+		d.SetTable(table)
 		f.SetTargets(list, time.Now())
-		relays = append(relays, r)
+		dispatchers = append(dispatchers, d)
 	}
 	var mu sync.Mutex
 	next := 0
-	return func(ctx context.Context, r *Request) (Answer, Trace) {
+	return func(ctx context.Context, r *relay.Request) (relay.Answer, Trace) {
 		mu.Lock()
 		next++
-		relay := relays[next%n]
+		d := dispatchers[next%n]
 		mu.Unlock()
-		return relay.Answer(ctx, r)
+		return d.Answer(ctx, r)
 	}
 }
 
@@ -266,16 +267,16 @@
 func plainWay(w *world, seed uint64) answerer {
 	rng := rand.New(rand.NewPCG(seed, 5))
 	var mu sync.Mutex
-	return func(_ context.Context, r *Request) (Answer, Trace) {
-		ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
+	return func(_ context.Context, r *relay.Request) (relay.Answer, Trace) {
+		ctx, cancel := context.WithDeadline(context.Background(), r.Arrived().Add(r.Allowed()))
 		defer cancel()
-		s := NewState(NewPlan(replayRoute(), "", r, 0))
+		s := relay.NewState(relay.NewPlan(replayRoute(), "", r, 0))
 		outcomes := make(chan arrival, replayShards)
 		for n := range replayShards {
 			mu.Lock()
 			id := fmt.Sprintf("i-%d-%d", n, rng.IntN(replayCopies))
 			mu.Unlock()
-			s.Sent(n, nil, time.Hour, r.arrived)
+			s.Sent(n, nil, time.Hour, r.Arrived())
 			go (&plainSend{ctx: ctx, target: w.targets[id], part: n, outcomes: outcomes}).run()
 		}
 		for range replayShards {
--- /dev/null
+++ b/core/process/dispatch/sending.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/placement"
+	"github.com/mulberrydale/mulberrydale/core/request/relay"
+)
+
+// sending is one send of a part.
+type sending struct {
+	query   *query
+	part    int
+	lease   *placement.Lease
+	cancel  context.CancelFunc
+	attempt relay.Attempt
+}
+
+func (s *sending) run(ctx context.Context) {
+	defer s.cancel()
+	outcome := s.query.dispatcher.sender.Send(ctx, s.attempt, time.Now())
+	s.end(ctx, outcome, time.Now())
+	s.query.results <- arrival{part: s.part, outcome: outcome}
+}
+
+// end tells the fleet what the send showed.
+func (s *sending) end(ctx context.Context, outcome relay.Outcome, now time.Time) {
+	switch o := outcome.(type) {
+	case relay.Answered:
+		if o.Load().Known() {
+			s.lease.TellLoad(o.Load().Running(), o.Load().Waiting(), now)
+		}
+		if o.Leaving() {
+			s.lease.Leaving(now)
+		}
+		if o.Response().Status() >= 500 {
+			s.lease.Failed(now)
+		} else {
+			s.lease.Succeeded(now)
+		}
+	case relay.Declined:
+		if o.Load().Known() {
+			s.lease.TellLoad(o.Load().Running(), o.Load().Waiting(), now)
+		}
+		s.lease.Refused(o.Leaving(), now)
+	case relay.Unsent:
+		if ctx.Err() != nil && s.query.abandoned() {
+			s.lease.Unsent(now)
+			return
+		}
+		s.lease.Silent(now)
+	case relay.Lost:
+		if ctx.Err() != nil && s.query.abandoned() {
+			s.lease.Abandoned(now)
+			return
+		}
+		s.lease.Silent(now)
+	}
+}
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -1,6 +1,7 @@
-// Package relay answers one request from the targets of its route: one target
-// whose response is passed on unchanged, or one target of every shard whose
-// records are merged. The decisions stand in State; the rest is a thin shell.
+// Package relay decides how one request is answered from the targets of its
+// route: one target whose response is passed on unchanged, or one target of
+// every shard whose records are merged. It sends nothing and reads no clock;
+// core/process/dispatch drives it.
 package relay
 
 import (
@@ -62,6 +63,12 @@
 	once        bool
 }
 
+// NewAttempt returns a send of a request to a target that must answer by the
+// deadline, over one of a number of connections, perhaps at most once.
+func NewAttempt(r *Request, i discovery.Instance, deadline time.Time, connections int, once bool) Attempt {
+	return Attempt{request: r, instance: i, deadline: deadline, connections: connections, once: once}
+}
+
 // Request returns what is sent.
 func (a Attempt) Request() *Request { return a.request }
 
@@ -114,6 +121,15 @@
 	return Load{running: running, waiting: waiting, known: true}
 }
 
+// Known reports whether the target told its load.
+func (l Load) Known() bool { return l.known }
+
+// Running returns the requests that run.
+func (l Load) Running() int { return l.running }
+
+// Waiting returns the requests that wait.
+func (l Load) Waiting() int { return l.waiting }
+
 // Outcome is what became of an attempt: Answered, Declined, Unsent or Lost.
 type Outcome interface{ outcome() }
 
@@ -138,6 +154,21 @@
 // may have run.
 type Lost struct{ err error }
 
+// Response returns the whole response.
+func (o Answered) Response() *Response { return o.response }
+
+// Load returns what the target told of its load.
+func (o Answered) Load() Load { return o.load }
+
+// Leaving reports whether the target said that it leaves.
+func (o Answered) Leaving() bool { return o.leaving }
+
+// Load returns what the target told of its load.
+func (o Declined) Load() Load { return o.load }
+
+// Leaving reports whether the target refuses every request.
+func (o Declined) Leaving() bool { return o.leaving }
+
 func (Answered) outcome() {}
 func (Declined) outcome() {}
 func (Unsent) outcome()   {}
@@ -189,6 +220,12 @@
 func (Merged) answer()  {}
 func (Refused) answer() {}
 
+// Path returns the path that selects the route.
+func (r *Request) Path() string { return r.path }
+
+// Arrived returns when the request arrived.
+func (r *Request) Arrived() time.Time { return r.arrived }
+
 // Took returns the time since the request arrived.
 func (r *Request) Took(now time.Time) time.Duration { return now.Sub(r.arrived) }
 
--- a/core/request/relay/state.go
+++ b/core/request/relay/state.go
@@ -7,8 +7,8 @@
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
-// mostSends bounds the sends of one part, refusals by targets included.
-const mostSends = 5
+// MostSends bounds the sends of one part, refusals by targets included.
+const MostSends = 5
 
 // Plan is what is decided when a request arrives. It holds for the request
 // whatever version comes into force meanwhile.
@@ -77,8 +77,38 @@
 	return &State{plan: plan, parts: make([]part, len(plan.services)), open: len(plan.services)}
 }
 
-// once reports whether the request must not run twice.
-func (s *State) once() bool { return s.plan.route.Kind() == routing.NonIdempotent }
+// Services returns the services that are asked: one, or all shards.
+func (p Plan) Services() []string { return p.services }
+
+// Route returns the route of the request.
+func (p Plan) Route() routing.Route { return p.route }
+
+// Least returns the least number of parts in an answer.
+func (p Plan) Least() int { return p.least }
+
+// Patience returns when a request that was sent nowhere is refused.
+func (p Plan) Patience() time.Time { return p.patience }
+
+// End returns when the time for the answer is up.
+func (p Plan) End() time.Time { return p.end }
+
+// Plan returns the plan of the request.
+func (s *State) Plan() Plan { return s.plan }
+
+// Parts returns the number of parts.
+func (s *State) Parts() int { return len(s.parts) }
+
+// Tried returns the targets that a part was sent to.
+func (s *State) Tried(n int) []*placement.Target { return s.parts[n].tried }
+
+// Waiting reports whether a part waits for room.
+func (s *State) Waiting(n int) bool { return s.parts[n].waiting }
+
+// Missing reports whether a part has no response.
+func (s *State) Missing(n int) bool { return s.parts[n].response == nil }
+
+// Once reports whether the request must not run twice.
+func (s *State) Once() bool { return s.plan.route.Kind() == routing.NonIdempotent }
 
 // Sent notes a send of a part and when it counts as late.
 func (s *State) Sent(n int, t *placement.Target, lateAfter time.Duration, now time.Time) {
@@ -90,7 +120,7 @@
 	p.flying++
 	s.left = true
 	p.hedgeAt = time.Time{}
-	if !s.once() && p.runs < s.plan.route.MaxAttempts() {
+	if !s.Once() && p.runs < s.plan.route.MaxAttempts() {
 		p.hedgeAt = now.Add(lateAfter)
 	}
 }
@@ -128,7 +158,7 @@
 			return Nothing
 		}
 		p.failure = o.response
-		if s.once() {
+		if s.Once() {
 			s.settle(p)
 			return Nothing
 		}
@@ -139,7 +169,7 @@
 		p.runs--
 		return s.again(p, SendFree)
 	case Lost:
-		if s.once() {
+		if s.Once() {
 			s.settle(p)
 			return Nothing
 		}
@@ -161,7 +191,7 @@
 	if p.flying > 0 || p.waiting {
 		return Nothing
 	}
-	if p.runs >= s.plan.route.MaxAttempts() || p.sends >= mostSends {
+	if p.runs >= s.plan.route.MaxAttempts() || p.sends >= MostSends {
 		s.settle(p)
 		return Nothing
 	}
@@ -249,8 +279,8 @@
 	return true
 }
 
-// describe names a part and what is known of it, for the log.
-func (s *State) describe(n int) string {
+// Describe names a part and what is known of it, for the log.
+func (s *State) Describe(n int) string {
 	p := &s.parts[n]
 	name := s.plan.services[n]
 	switch {
