--- a/core/connection/session/session.go
+++ b/core/connection/session/session.go
@@ -18,11 +18,13 @@
 const (
 	// queueLength bounds the frames that wait for a link.
 	queueLength = 1024
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout is short: a VM without power drops the request for
+	// a connection, and it is repeated by the kernel only after a second.
+	dialTimeout = 300 * time.Millisecond
 	// writeTimeout bounds one write; a link that can't take it is closed.
 	writeTimeout = 2 * time.Second
 	minRedial    = 50 * time.Millisecond
-	maxRedial    = 250 * time.Millisecond
+	maxRedial    = 150 * time.Millisecond
 	// silence is the time without a frame after which a link is closed. Beats
 	// come several times as often.
 	silence = 1800 * time.Millisecond
@@ -156,7 +158,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		d.connect(ctx)
-		if time.Since(began) > dialTimeout {
+		if time.Since(began) > 2*dialTimeout {
 			wait = minRedial
 		}
 		select {
--- a/core/process/cluster/loops.go
+++ b/core/process/cluster/loops.go
@@ -94,14 +94,14 @@
 	defer ticker.Stop()
 	draw := rand.Float64()
 	for {
+		if l.cluster.readDue(draw, time.Now()) {
+			l.cluster.readList(ctx)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		if l.cluster.readDue(draw, time.Now()) {
-			l.cluster.readList(ctx)
-		}
 	}
 }
 
