A refused pre-vote tells the higher term; drawn faults over growing voters

Cause: five voters, two disks lost, all others restarted: the only replica whose log was up to date stood at term 1, the two that must vote for it at term 2.

--- a/core/process/replica/cluster_test.go
+++ b/core/process/replica/cluster_test.go
@@ -42,10 +42,12 @@
 
 // cluster drives nodes without sockets, disks or clocks.
 type cluster struct {
-	rng      *rand.Rand
-	fault    fault
-	now      time.Time
-	names    []string
+	rng   *rand.Rand
+	fault fault
+	now   time.Time
+	names []string
+	// wanted is the number of voters to grow to, 0 for the founders only.
+	wanted   int
 	machines map[string]*machine
 	packets  []packet
 	cut      map[string]bool
@@ -62,11 +64,17 @@
 }
 
 func newCluster(seed uint64, f fault) *cluster {
+	return newClusterOf([]string{"vm-1", "vm-2", "vm-3"}, 0, seed, f)
+}
+
+// newClusterOf returns a cluster that the first three of the VMs have founded.
+func newClusterOf(names []string, wanted int, seed uint64, f fault) *cluster {
 	c := &cluster{
+		wanted:       wanted,
 		rng:          rand.New(rand.NewPCG(seed, 99)),
 		fault:        f,
 		now:          time.Unix(1_000_000, 0),
-		names:        []string{"vm-1", "vm-2", "vm-3"},
+		names:        names,
 		machines:     make(map[string]*machine),
 		cut:          make(map[string]bool),
 		leaders:      make(map[uint64]ID),
@@ -80,7 +88,9 @@
 		c.machines[name] = m
 		m.lives = 1
 		m.id = ID(name + "/1")
-		members = append(members, Member{id: m.id, vm: name})
+		if len(members) < 3 {
+			members = append(members, Member{id: m.id, vm: name})
+		}
 	}
 	for _, name := range c.names {
 		c.start(name)
@@ -106,6 +116,7 @@
 		m.id = ID(vm + "/1")
 	}
 	m.node = NewNode(Member{id: m.id, vm: vm}, c.names, m.disk, c.pick, c.now)
+	m.node.WantVoters(c.wanted)
 	state, err := DecodeState(m.disk.snapshot.state)
 	if err != nil {
 		c.fail("the snapshot can't be read: %v", err)
--- a/core/process/replica/election.go
+++ b/core/process/replica/election.go
@@ -74,8 +74,11 @@
 	upToDate := m.lastTerm > n.log.lastTerm() ||
 		m.lastTerm == n.log.lastTerm() && m.lastIndex >= n.log.lastIndex()
 	if m.pre {
-		granted := m.term > n.hard.term && upToDate
-		n.send(from, VoteReply{term: m.term, pre: true, granted: granted})
+		if m.term > n.hard.term && upToDate {
+			n.send(from, VoteReply{term: m.term, pre: true, granted: true})
+			return
+		}
+		n.send(from, VoteReply{term: n.hard.term, pre: true})
 		return
 	}
 	if m.term > n.hard.term {
@@ -95,6 +98,11 @@
 			n.votes[from.id] = true
 			n.countVotes(now)
 		}
+		if !m.granted && m.term > n.hard.term {
+			// Without the higher term no later pre-vote could be granted, and
+			// this replica may be the only one whose log is up to date.
+			n.follow(m.term, Member{}, now)
+		}
 		return
 	}
 	if m.term > n.hard.term {
