A pause is not told to other VMs as a slow target

Cause: with 63 VMs every pause of 120 ms was found by some VM and told to all, so that up to a third of the targets were avoided at any time. Told now are targets whose bad findings span 150 ms; all responses that met a pause end at the same moment.

--- a/core/process/cluster/findings.go
+++ b/core/process/cluster/findings.go
@@ -11,10 +11,59 @@
 // findingKept is how long a control VM passes a finding on.
 const findingKept = 3 * time.Second
 
-// finding is what a VM found of a target, dated by the clock of this process.
+const (
+	// findingGap is the time between two bad findings after which the earlier
+	// ones say nothing any more.
+	findingGap = 2 * time.Second
+	// findingSpan is the time that bad findings must span before a target is
+	// told to be bad. A pause ends for all requests that met it at the same
+	// moment; a target that is slow shows it again and again.
+	findingSpan = 150 * time.Millisecond
+)
+
+// finding is what VMs found of a target, dated by the clock of this process.
 type finding struct {
-	bad bool
-	at  time.Time
+	firstBad time.Time
+	lastBad  time.Time
+	lastGood time.Time
+}
+
+// add returns the finding with one more.
+func (f finding) add(bad bool, at time.Time) finding {
+	switch {
+	case !bad:
+		if at.After(f.lastGood) {
+			f.lastGood = at
+		}
+	case f.lastBad.IsZero() || at.Sub(f.lastBad) > findingGap || f.lastGood.After(f.lastBad) && at.After(f.lastGood):
+		f.firstBad = at
+		f.lastBad = at
+	case at.After(f.lastBad):
+		f.lastBad = at
+	}
+	return f
+}
+
+// told returns what other VMs should know, and false where there is nothing.
+//
+// For example, responses that were late at 10.00 and 10.01 s tell nothing;
+// with another one at 10.20 s the target is told to be bad.
+func (f finding) told() (bad bool, at time.Time, ok bool) {
+	switch {
+	case f.lastGood.After(f.lastBad):
+		return false, f.lastGood, true
+	case f.lastBad.Sub(f.firstBad) >= findingSpan:
+		return true, f.lastBad, true
+	}
+	return false, time.Time{}, false
+}
+
+// latest returns when the target was last found either way.
+func (f finding) latest() time.Time {
+	if f.lastGood.After(f.lastBad) {
+		return f.lastGood
+	}
+	return f.lastBad
 }
 
 // FindingSource gives what the requests of an entry VM showed lately, and takes
@@ -43,10 +92,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, f := range p.Findings() {
-		at := now.Add(-f.Age())
-		if at.After(c.findings[f.ID()].at) {
-			c.findings[f.ID()] = finding{bad: f.Bad(), at: at}
-		}
+		c.findings[f.ID()] = c.findings[f.ID()].add(f.Bad(), now.Add(-f.Age()))
 	}
 }
 
@@ -55,12 +101,13 @@
 func (c *Cluster) latestFindings(now time.Time) []discovery.Finding {
 	var out []discovery.Finding
 	for id, f := range c.findings {
-		age := now.Sub(f.at)
-		if age > findingKept {
+		if now.Sub(f.latest()) > findingKept {
 			delete(c.findings, id)
 			continue
 		}
-		out = append(out, discovery.NewFinding(id, f.bad, age))
+		if bad, at, ok := f.told(); ok {
+			out = append(out, discovery.NewFinding(id, bad, now.Sub(at)))
+		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID() < out[j].ID() })
 	return out
