--- a/core/process/cluster/calls.go
+++ b/core/process/cluster/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/frame"
@@ -22,42 +21,6 @@
 	forwardTimeout = 2 * time.Second
 )
 
-// calls are the forwarded commands and reads that wait for a reply. The lock
-// is taken alone.
-type calls struct {
-	mu      sync.Mutex
-	number  uint64
-	waiting map[uint64]chan []byte
-}
-
-func newCalls() *calls {
-	return &calls{waiting: make(map[uint64]chan []byte)}
-}
-
-func (c *calls) open() (uint64, chan []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.number++
-	reply := make(chan []byte, 1)
-	c.waiting[c.number] = reply
-	return c.number, reply
-}
-
-func (c *calls) close(number uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.waiting, number)
-}
-
-func (c *calls) resolve(r peer.Reply) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if reply, ok := c.waiting[r.Number()]; ok {
-		delete(c.waiting, r.Number())
-		reply <- r.Payload()
-	}
-}
-
 // Submit runs a command through the log, wherever its leader is. A command may
 // be sent again; so a try that fails is followed by another until ctx ends.
 func (c *Cluster) Submit(ctx context.Context, command replica.Command) (replica.RoutesOutcome, error) {
@@ -156,8 +119,8 @@
 
 // call sends a message to the leader and waits for its reply.
 func (c *Cluster) call(ctx context.Context, leader string, message func(number uint64) peer.Message) ([]byte, error) {
-	number, reply := c.calls.open()
-	defer c.calls.close(number)
+	number, reply := c.calls.Open()
+	defer c.calls.Close(number)
 	if !c.send(leader, message(number)) {
 		return nil, result.New(result.NoQuorum, "there is no link to the leader %s", leader)
 	}
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -79,7 +79,7 @@
 	observer Observer
 	control  *control.Control
 	reader   ListReader
-	calls    *calls
+	calls    *peer.Calls
 	source   FindingSource
 
 	// observing orders the calls of the observer.
@@ -108,7 +108,7 @@
 		log:      log,
 		observer: observer,
 		reader:   reader,
-		calls:    newCalls(),
+		calls:    peer.NewCalls(),
 		seeds:    seeds,
 		controls: make(map[string]*known),
 		sessions: make(map[*session.Session]*remote),
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -53,7 +53,7 @@
 	case peer.Read:
 		go (&forwardedRead{cluster: c, session: s, number: m.Number()}).run()
 	case peer.Reply:
-		c.calls.resolve(m)
+		c.calls.Resolve(m)
 	case peer.Hello, peer.Beat, peer.Push, peer.News:
 		c.log.Warn("a peer sent a message of another kind of installation")
 	}
--- a/core/version/document/object.go
+++ b/core/version/document/object.go
@@ -85,16 +85,11 @@
 // Int returns a required whole number within [low, high].
 func (o *Object) Int(key string, low, high int) int {
 	want := fmt.Sprintf("a whole number from %d to %d", low, high)
-	value := o.required(key, want)
-	if value == nil {
-		return low
-	}
-	literal, ok := value.Value.(hujson.Literal)
-	if !ok || literal.Kind() != '0' {
-		o.wrongType(key, value, want)
+	value, text, ok := o.numeral(key, want)
+	if !ok {
 		return low
 	}
-	n, err := strconv.Atoi(string(literal))
+	n, err := strconv.Atoi(text)
 	if err != nil {
 		o.wrongType(key, value, want)
 		return low
@@ -106,6 +101,21 @@
 	return n
 }
 
+// numeral returns the digits of a required number, false where it is missing
+// or no number.
+func (o *Object) numeral(key, want string) (value *hujson.Value, text string, ok bool) {
+	value = o.required(key, want)
+	if value == nil {
+		return nil, "", false
+	}
+	literal, is := value.Value.(hujson.Literal)
+	if !is || literal.Kind() != '0' {
+		o.wrongType(key, value, want)
+		return nil, "", false
+	}
+	return value, string(literal), true
+}
+
 // IntOr returns a whole number, or a default where the key is not there.
 func (o *Object) IntOr(key string, low, high, otherwise int) int {
 	if !o.Has(key) {
@@ -128,16 +138,11 @@
 // Number returns a required number within [low, high]; it may have a fraction.
 func (o *Object) Number(key string, low, high float64) float64 {
 	want := fmt.Sprintf("a number from %g to %g", low, high)
-	value := o.required(key, want)
-	if value == nil {
-		return low
-	}
-	literal, ok := value.Value.(hujson.Literal)
-	if !ok || literal.Kind() != '0' {
-		o.wrongType(key, value, want)
+	value, text, ok := o.numeral(key, want)
+	if !ok {
 		return low
 	}
-	n, err := strconv.ParseFloat(string(literal), 64)
+	n, err := strconv.ParseFloat(text, 64)
 	if err != nil {
 		o.wrongType(key, value, want)
 		return low
--- a/mulberrydale/vm/calls.go
+++ b/mulberrydale/vm/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
@@ -18,42 +17,6 @@
 	callTimeout = 2 * time.Second
 )
 
-// calls are the forwarded commands that wait for a reply. The lock is taken
-// alone.
-type calls struct {
-	mu      sync.Mutex
-	number  uint64
-	waiting map[uint64]chan []byte
-}
-
-func newCalls() *calls {
-	return &calls{waiting: make(map[uint64]chan []byte)}
-}
-
-func (c *calls) open() (uint64, chan []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.number++
-	reply := make(chan []byte, 1)
-	c.waiting[c.number] = reply
-	return c.number, reply
-}
-
-func (c *calls) close(number uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.waiting, number)
-}
-
-func (c *calls) resolve(r peer.Reply) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if reply, ok := c.waiting[r.Number()]; ok {
-		delete(c.waiting, r.Number())
-		reply <- r.Payload()
-	}
-}
-
 // Submit runs a command through the log, wherever its leader is. Every command
 // may be sent again: changes by their id, claims by their holder. So a try
 // that fails is followed by another until ctx ends.
@@ -78,8 +41,8 @@
 	if v.control != nil && leader == v.settings.VM() {
 		return v.control.Propose(ctx, command)
 	}
-	number, reply := v.calls.open()
-	defer v.calls.close(number)
+	number, reply := v.calls.Open()
+	defer v.calls.Close(number)
 	if !v.mesh.Send(leader, peer.NewForward(number, replica.EncodeCommand(command))) {
 		return nil, result.New(result.NoQuorum, "no leader is known")
 	}
--- a/mulberrydale/vm/receive.go
+++ b/mulberrydale/vm/receive.go
@@ -79,7 +79,7 @@
 	case peer.Forward:
 		go (&forwarded{vm: v, from: from.VM(), message: m}).run()
 	case peer.Reply:
-		v.calls.resolve(m)
+		v.calls.Resolve(m)
 	case peer.News:
 		v.receiveNews(m, now)
 	}
--- a/mulberrydale/vm/vm.go
+++ b/mulberrydale/vm/vm.go
@@ -41,7 +41,7 @@
 	control  *control.Control
 	leaving  atomic.Bool
 	relay    *relay
-	calls    *calls
+	calls    *peer.Calls
 	dials    tally.Gauge
 	voter    tally.Gauge
 
@@ -59,7 +59,7 @@
 		log:      log,
 		table:    target.NewTable(s.DataCentre()),
 		relay:    newRelay(),
-		calls:    newCalls(),
+		calls:    peer.NewCalls(),
 		dials:    scope.Gauge("leaf_dials"),
 		voter:    scope.Gauge("control_voter"),
 	}
