--- a/core/process/journal/journal.go
+++ b/core/process/journal/journal.go
@@ -155,12 +155,17 @@
 		return result.Wrap(err, result.JournalUnusable, "new journal")
 	}
 	size, err := write(file, records)
+	if err == nil {
+		if renamed := os.Rename(path, filepath.Join(j.folder, fileName)); renamed != nil {
+			err = result.Wrap(renamed, result.JournalUnusable, "new journal")
+		}
+	}
 	if err != nil {
+		// What was written takes room on a disk that may be full.
+		_ = file.Close()
+		_ = os.Remove(path)
 		return err
 	}
-	if err := os.Rename(path, filepath.Join(j.folder, fileName)); err != nil {
-		return result.Wrap(err, result.JournalUnusable, "new journal")
-	}
 	if err := syncFolder(j.folder); err != nil {
 		return err
 	}
--- a/core/process/journal/journal_test.go
+++ b/core/process/journal/journal_test.go
@@ -102,3 +102,28 @@
 	fmt.Println(len(records), string(records[1]))
 	// Output: 2 second
 }
+
+// A full disk refuses the new journal; nothing of the try must be left behind,
+// because it is repeated several times a second.
+func TestARefusedNewJournalLeavesNothingBehind(t *testing.T) {
+	folder := t.TempDir()
+	j, _, err := journal.Open(folder)
+	assert.NilError(t, err)
+	assert.NilError(t, j.Append([][]byte{[]byte("one")}))
+	next := filepath.Join(folder, "journal.next")
+	assert.NilError(t, os.Symlink("/dev/full", next))
+	assert.Assert(t, j.Replace([][]byte{[]byte("two")}) != nil)
+	open, err := filepath.Glob("/proc/self/fd/*")
+	assert.NilError(t, err)
+	for _, fd := range open {
+		target, err := os.Readlink(fd)
+		assert.Assert(t, err != nil || target != "/dev/full", "%s is still open", target)
+	}
+	_, err = os.Lstat(next)
+	assert.Assert(t, os.IsNotExist(err))
+	assert.NilError(t, j.Replace([][]byte{[]byte("three")}))
+	assert.NilError(t, j.Close())
+	_, records, err := journal.Open(folder)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, records, [][]byte{[]byte("three")})
+}
