--- a/core/process/dispatch/replay_test.go
+++ b/core/process/dispatch/replay_test.go
@@ -43,6 +43,10 @@
 	shed   float64
 	hang   bool
 	gone   bool
+	// connections is what a target accepts of all VMs together, 0 for plenty.
+	connections int
+	// again is how often a caller that got nothing asks again at once.
+	again int
 }
 
 // simulated is one target.
@@ -202,7 +206,7 @@
 type answerer func(ctx context.Context, r *relay.Request) (relay.Answer, Trace)
 
 // play sends requests at a rate and counts the answers.
-func play(rate float64, seed uint64, answer answerer) *tally {
+func play(rate float64, again int, seed uint64, answer answerer) *tally {
 	var t tally
 	var all sync.WaitGroup
 	rng := rand.New(rand.NewPCG(seed, 3))
@@ -211,7 +215,7 @@
 		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 		r := relay.NewRequest("id", "GET", "h", "/", "/", nil, nil, time.Now()).Within(600 * time.Millisecond)
 		all.Add(1)
-		go (&caller{request: r, answer: answer, tally: &t, done: &all}).run()
+		go (&caller{request: r, again: again, answer: answer, tally: &t, done: &all}).run()
 	}
 	all.Wait()
 	// Sends that nobody waits for end by themselves.
@@ -221,6 +225,7 @@
 
 type caller struct {
 	request *relay.Request
+	again   int
 	answer  answerer
 	tally   *tally
 	done    *sync.WaitGroup
@@ -228,14 +233,22 @@
 
 func (c *caller) run() {
 	defer c.done.Done()
+	began := c.request.Arrived()
 	answer, trace := c.answer(context.Background(), c.request)
-	c.tally.add(answer, trace, time.Since(c.request.Arrived()))
+	for range c.again {
+		if _, refused := answer.(relay.Refused); !refused {
+			break
+		}
+		r := relay.NewRequest("id", "GET", "h", "/", "/", nil, nil, time.Now())
+		answer, trace = c.answer(context.Background(), r.Within(began.Add(c.request.Allowed()).Sub(r.Arrived())))
+	}
+	c.tally.add(answer, trace, time.Since(began))
 }
 
 // entryVMs spreads requests over dispatchers that know nothing of each other.
-func entryVMs(n int, w *world, list discovery.List, rate float64) answerer {
+func entryVMs(n int, w *world, list discovery.List, connections int) answerer {
 	var dispatchers []*Dispatcher
-	table := routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(), routing.Limits{})
+	table := routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(connections), routing.Limits{})
 	for range n {
 		f := placement.NewFleet("dc-1", placement.NewLimits(0.2, 20, 10*time.Second, 1.5, 5))
 		f.SetEntryVMs(n, time.Now())
@@ -255,10 +268,13 @@
 	}
 }
 
-func replayServices() []routing.Service {
+func replayServices(connections int) []routing.Service {
+	if connections == 0 {
+		connections = 25
+	}
 	var out []routing.Service
 	for n := range replayShards {
-		out = append(out, routing.NewService(shardName(n), "").WithMaxConnections(25))
+		out = append(out, routing.NewService(shardName(n), "").WithMaxConnections(connections))
 	}
 	return out
 }
@@ -309,6 +325,10 @@
 	gain  float64
 }{
 	{"calm, with pauses", 180, fault{}, 0.97, 0.15},
+	{"one connection to a target for each VM", 180, fault{connections: 3}, 0.97, 0.15},
+	{"one connection, and 15 % of the targets 8 times as slow", 120, fault{connections: 3, share: 0.15, slow: 8}, 0.85, 0.20},
+	{"callers that ask again at once, half of the targets shed 60 %", 110, fault{share: 0.5, shed: 0.6, again: 3}, 0.60, 0.10},
+	{"three times the load", 720, fault{}, 0.25, 0.05},
 	{"one of three targets of each shard 10 times as slow", 150, fault{copies: 1, slow: 10}, 0.90, 0.30},
 	{"15 % of the targets 8 times as slow", 180, fault{share: 0.15, slow: 8}, 0.90, 0.25},
 	{"one of three targets of each shard gone", 150, fault{copies: 1, gone: true}, 0.90, 0.30},
@@ -324,11 +344,11 @@
 			var ours, plain *tally
 			synctest.Test(t, func(*testing.T) {
 				w, list := newWorld(seed, tt.fault)
-				ours = play(tt.rate, seed, entryVMs(3, w, list, tt.rate))
+				ours = play(tt.rate, tt.fault.again, seed, entryVMs(3, w, list, tt.fault.connections))
 			})
 			synctest.Test(t, func(*testing.T) {
 				w, _ := newWorld(seed, tt.fault)
-				plain = play(tt.rate, seed, plainWay(w, seed))
+				plain = play(tt.rate, tt.fault.again, seed, plainWay(w, seed))
 			})
 			if os.Getenv("REPLAY") != "" {
 				fmt.Printf("%s\n  decided: %v\n  plain:   %v\n", tt.name, ours, plain)
