What nothing uses is gone from a send: the connections asked per attempt, a leaving mark, waiters that are no first sends

The connections of an attempt were read under the fleet's lock on every send and used by nobody, since the requests in flight bound them; Answered's mark of a leaving target was always false, as a closed connection says nothing of that; only first sends wait. Behaviour is otherwise the same: the tests keep their assertions, the constructors lost a parameter that was always false.

--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -102,7 +102,7 @@
 // serve sends a peer what it lacks. The leader's news goes out by itself; any
 // other control VM helps once a peer has lagged for two presences in a row.
 // The caller holds the lock.
-func (c *Cluster) serve(s *session.Session, r *remote, first bool, _ time.Time) {
+func (c *Cluster) serve(s *session.Session, r *remote, first bool, now time.Time) {
 	if c.control == nil {
 		return
 	}
@@ -114,7 +114,7 @@
 			r.behind = c.routes.Revision()
 		}
 	}
-	c.sendList(s, r, time.Now())
+	c.sendList(s, r, now)
 }
 
 // sendList sends what changed since the last list on this session, and reports
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -161,7 +161,7 @@
 	case usable < plan.Least():
 		return relay.NewRefused(result.NoTarget, "too few services have a target").After(retryAfter(retryUnknown, req)), true
 	case soon < plan.Least():
-		return relay.NewRefused(result.Overloaded, "the wait for a target would be too long").After(retryAfter(d.wait(plan, time.Now()), req)), true
+		return relay.NewRefused(result.Overloaded, "the wait for a target would be too long").After(retryAfter(d.wait(plan, now), req)), true
 	}
 	return relay.Refused{}, false
 }
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -75,13 +75,13 @@
 		q.state.GiveUp(n)
 		return
 	}
-	q.wait(n, q.ask(n), now)
+	q.wait(n, now)
 }
 
-func (q *query) wait(n int, a placement.Ask, now time.Time) {
+func (q *query) wait(n int, now time.Time) {
 	q.rooms[n] = make(chan *placement.Lease, 1)
 	q.state.Waits(n)
-	q.waiters[n] = q.dispatcher.fleet.Wait(a, q.state.Plan().Route().Priority(), q.state.Plan().End(), q.rooms[n], now)
+	q.waiters[n] = q.dispatcher.fleet.Wait(q.ask(n), q.state.Plan().Route().Priority(), q.state.Plan().End(), q.rooms[n], now)
 	q.look(n, now)
 }
 
@@ -104,7 +104,7 @@
 	q.cancels = append(q.cancels, cancel)
 	q.cancelMu.Unlock()
 	s := &sending{query: q, part: n, lease: lease, cancel: cancel, attempt: relay.NewAttempt(
-		q.request, lease.Target().Instance(), plan.End(), lease.Connections(), q.state.Once())}
+		q.request, lease.Target().Instance(), plan.End(), q.state.Once())}
 	go s.run(ctx)
 }
 
@@ -133,7 +133,7 @@
 	a := q.ask(n).Again(q.state.Tried(n), free)
 	lease, ok := q.dispatcher.fleet.Acquire(a, now)
 	if !ok && len(q.state.Tried(n)) >= q.dispatcher.fleet.Usable(q.state.Plan().Services()[n]) {
-		// Every target was tried; the one that was tried first is tried again.
+		// Every target was tried; only the last one is left out.
 		a = q.ask(n).Again(q.state.Tried(n)[len(q.state.Tried(n))-1:], free)
 		lease, ok = q.dispatcher.fleet.Acquire(a, now)
 	}
--- a/core/process/dispatch/replay_test.go
+++ b/core/process/dispatch/replay_test.go
@@ -116,7 +116,7 @@
 	} else {
 		s.running--
 	}
-	return relay.NewAnswered(relay.NewResponse(200, nil, nil, s.id), load, false)
+	return relay.NewAnswered(relay.NewResponse(200, nil, nil, s.id), load)
 }
 
 // world is all targets of a replay; it sends attempts to them.
--- a/core/process/dispatch/sending.go
+++ b/core/process/dispatch/sending.go
@@ -31,9 +31,6 @@
 		if o.Load().Known() {
 			s.lease.TellLoad(o.Load().Running(), o.Load().Waiting(), now)
 		}
-		if o.Leaving() {
-			s.lease.Leaving(now)
-		}
 		if o.Response().Status() >= 500 {
 			s.lease.Failed(now)
 		} else {
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -17,13 +17,6 @@
 // Target returns the target that the request goes to.
 func (l *Lease) Target() *Target { return l.target }
 
-// Connections returns how many connections to the target may be open.
-func (l *Lease) Connections() int {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	return l.fleet.share(l.target.group.declared)
-}
-
 // lease counts a request at a target. The caller holds the lock.
 func (f *Fleet) lease(g *group, t *Target, kind string, extra bool, now time.Time) *Lease {
 	l := &Lease{fleet: f, target: t, kind: kind, extra: extra, sentAt: now}
@@ -86,10 +79,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(a.service)
-	if !a.extra && len(a.avoid) == 0 {
-		g.budget.first(now)
-	}
-	w := &Waiter{group: g, kind: a.kind, avoid: a.avoid, extra: a.extra, priority: priority, deadline: deadline, notify: notify}
+	g.budget.first(now)
+	w := &Waiter{group: g, kind: a.kind, priority: priority, deadline: deadline, notify: notify}
 	g.queue.join(w)
 	f.handOver(g, now)
 	return w
@@ -210,13 +201,6 @@
 	l.target.tellLoad(running, waiting, now)
 }
 
-// Leaving notes that the target said it is about to leave.
-func (l *Lease) Leaving(now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	l.target.leaving = true
-}
-
 // Look hands room over to the queue of a waiter, for targets that have become
 // usable by time alone.
 func (f *Fleet) Look(w *Waiter, now time.Time) {
--- a/core/process/placement/queue.go
+++ b/core/process/placement/queue.go
@@ -5,12 +5,10 @@
 	"time"
 )
 
-// Waiter is a request that waits for room at a target of one service.
+// Waiter is a first send that waits for room at a target of one service.
 type Waiter struct {
 	group    *group
 	kind     string
-	avoid    []*Target
-	extra    bool
 	priority int
 	deadline time.Time
 	notify   chan<- *Lease
@@ -82,19 +80,11 @@
 func (f *Fleet) handOver(g *group, now time.Time) {
 	for i := 0; i < len(g.queue.waiting); {
 		w := g.queue.waiting[i]
-		t := f.choose(g, w.kind, w.avoid, now)
+		t := f.choose(g, w.kind, nil, now)
 		if t == nil {
-			if len(w.avoid) == 0 {
-				return
-			}
-			i++
-			continue
-		}
-		if w.extra && !g.budget.take(f.entryVMs, now) {
-			i++
-			continue
+			return
 		}
-		lease := f.lease(g, t, w.kind, w.extra, now)
+		lease := f.lease(g, t, w.kind, false, now)
 		select {
 		case w.notify <- lease:
 			w.done = true
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -56,17 +56,16 @@
 
 // Attempt is one send of a request to a target.
 type Attempt struct {
-	request     *Request
-	instance    discovery.Instance
-	deadline    time.Time
-	connections int
-	once        bool
+	request  *Request
+	instance discovery.Instance
+	deadline time.Time
+	once     bool
 }
 
 // NewAttempt returns a send of a request to a target that must answer by the
-// deadline, over one of a number of connections, perhaps at most once.
-func NewAttempt(r *Request, i discovery.Instance, deadline time.Time, connections int, once bool) Attempt {
-	return Attempt{request: r, instance: i, deadline: deadline, connections: connections, once: once}
+// deadline, perhaps at most once.
+func NewAttempt(r *Request, i discovery.Instance, deadline time.Time, once bool) Attempt {
+	return Attempt{request: r, instance: i, deadline: deadline, once: once}
 }
 
 // Request returns what is sent.
@@ -78,9 +77,6 @@
 // Deadline returns when the response is of no more use.
 func (a Attempt) Deadline() time.Time { return a.deadline }
 
-// Connections returns how many connections to the target may be open.
-func (a Attempt) Connections() int { return a.connections }
-
 // Once reports whether the request must not be sent twice.
 func (a Attempt) Once() bool { return a.once }
 
@@ -137,7 +133,6 @@
 type Answered struct {
 	response *Response
 	load     Load
-	leaving  bool
 }
 
 // Declined says that the target did not run the request and will not.
@@ -160,9 +155,6 @@
 // Load returns what the target told of its load.
 func (o Answered) Load() Load { return o.load }
 
-// Leaving reports whether the target said that it leaves.
-func (o Answered) Leaving() bool { return o.leaving }
-
 // Load returns what the target told of its load.
 func (o Declined) Load() Load { return o.load }
 
@@ -174,10 +166,9 @@
 func (Unsent) outcome()   {}
 func (Lost) outcome()     {}
 
-// NewAnswered returns a whole response, with the target's load and whether the
-// target said that it leaves.
-func NewAnswered(r *Response, load Load, leaving bool) Answered {
-	return Answered{response: r, load: load, leaving: leaving}
+// NewAnswered returns a whole response, with the target's load.
+func NewAnswered(r *Response, load Load) Answered {
+	return Answered{response: r, load: load}
 }
 
 // NewDeclined returns a refusal by the target.
--- a/core/request/relay/state.go
+++ b/core/request/relay/state.go
@@ -228,9 +228,9 @@
 }
 
 // Done reports whether the answer may go out: all parts are settled, too many
-// are lost for an answer, the time
-// of the answer has come and enough parts are in, the time is up, or nothing
-// could be sent for so long that the caller is better told so.
+// are lost for an answer, the time of the answer has come and enough parts are
+// in, the time is up, or nothing could be sent for so long that the caller is
+// better told so.
 func (s *State) Done(now time.Time) bool {
 	switch {
 	case s.open == 0 || s.in+s.open < s.plan.least || !now.Before(s.plan.end):
--- a/core/request/relay/state_test.go
+++ b/core/request/relay/state_test.go
@@ -28,11 +28,11 @@
 }
 
 func ok(signature string) Outcome {
-	return NewAnswered(NewResponse(200, nil, []byte("0123456789abcdef"), signature), Load{}, false)
+	return NewAnswered(NewResponse(200, nil, []byte("0123456789abcdef"), signature), Load{})
 }
 
 func failure() Outcome {
-	return NewAnswered(NewResponse(500, nil, nil, "f"), Load{}, false)
+	return NewAnswered(NewResponse(500, nil, nil, "f"), Load{})
 }
 
 func lost() Outcome     { return NewLost(result.New(result.Unreachable, "reset")) }
@@ -187,7 +187,7 @@
 	s.Sent(0, nil, time.Second, start)
 	assert.Equal(t, s.Take(0, failure()), SendAgain)
 	s.Sent(0, nil, time.Second, start)
-	assert.Equal(t, s.Take(0, NewAnswered(NewResponse(200, nil, nil, ""), Load{}, false)), Nothing)
+	assert.Equal(t, s.Take(0, NewAnswered(NewResponse(200, nil, nil, ""), Load{})), Nothing)
 	assert.Equal(t, s.in, 0)
 }
 
