--- a/core/process/control/control_test.go
+++ b/core/process/control/control_test.go
@@ -17,7 +17,7 @@
 // alone is a control VM without others.
 type alone struct{}
 
-func (alone) SendReplica(string, []byte)             {}
+func (alone) SendReplica(string, []byte)            {}
 func (alone) Others(time.Time) map[string]Candidate { return nil }
 func (alone) MayFound() bool                        { return true }
 
