Readings of the target list go on above the highest number that any VM told

Cause: control VMs that all restart number their readings from 1 again, while entry VMs know a high number and pass over every list below it. Until the numbers met, each entry VM took its own list for three seconds old and read the list itself, and could have gone on with a target that was leaving. Entry VMs now tell the number that they know in their presence.

--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -93,6 +93,10 @@
 	routes   replica.Routes
 	list     discovery.List
 	readAt   time.Time
+	// heardNumber is the highest number of a list that any VM told. A control
+	// VM that restarted knows none itself and must not begin below it: the
+	// entry VMs would keep their older lists.
+	heardNumber uint64
 	// mostEntryVMs is the number of entry VMs that was last told.
 	mostEntryVMs int
 	// findings is what entry VMs found of targets, on a control VM.
--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -26,6 +26,19 @@
 	broken    bool
 }
 
+// unreadable is a target list that can't be reached from a VM.
+type unreadable struct{}
+
+func (unreadable) Read(context.Context) ([]discovery.Instance, error) {
+	return nil, result.New(result.Unreachable, "unreadable")
+}
+
+func (l *listing) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readings
+}
+
 func (l *listing) Read(context.Context) ([]discovery.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -109,6 +122,8 @@
 	seeds   []string
 	sockets map[string]net.Listener
 	members map[string]*member
+	// onlyControlsRead keeps entry VMs that start from reading the list.
+	onlyControlsRead bool
 }
 
 func newInstallation(t *testing.T, controls, entries int) *installation {
@@ -158,7 +173,11 @@
 		m.address = socket.Addr().String()
 	}
 	identity := cluster.NewIdentity(name, m.address, "dc-1", name, first)
-	m.cluster = cluster.New(identity, in.seeds, in.list, m.observer, zap.NewNop())
+	var reader cluster.ListReader = in.list
+	if folder == "" && in.onlyControlsRead {
+		reader = unreadable{}
+	}
+	m.cluster = cluster.New(identity, in.seeds, reader, m.observer, zap.NewNop())
 	if folder != "" {
 		assert.NilError(in.t, m.cluster.KeepLog(folder, 3, time.Now()))
 	}
@@ -294,6 +313,41 @@
 	in.expectVersion(12)
 }
 
+// All control VMs restart and count their readings from the start; entry VMs,
+// which know a high number, must follow their new list at once.
+func TestEntryVMsFollowControlVMsThatRestarted(t *testing.T) {
+	const before, most = 8, 5
+	in := newInstallation(t, 3, 0)
+	in.onlyControlsRead = true
+	entry := in.start("entry-0", "", true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := in.list.count(); n < before || entry.observer.targets() != 1 {
+			return poll.Continue("%d readings", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(40*time.Second), poll.WithDelay(20*time.Millisecond))
+	controls := []string{"control-0", "control-1", "control-2"}
+	for _, name := range controls {
+		in.members[name].stop()
+	}
+	in.list.set("i-2", "i-3")
+	for _, name := range controls {
+		m := in.members[name]
+		in.listen(name, m.address)
+		in.start(name, m.folder, false)
+	}
+	from := in.list.count()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if entry.observer.targets() != 2 {
+			return poll.Continue("the entry VM keeps its old list")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(40*time.Second), poll.WithDelay(20*time.Millisecond))
+	// Each of the three may read once before it hears of the others.
+	readings := in.list.count() - from
+	assert.Assert(t, readings <= most, "it took %d readings", readings)
+}
+
 // A VM without a log that starts later never founds one, whoever it hears.
 func TestAnEmptyVMFoundsNothing(t *testing.T) {
 	in := newInstallation(t, 3, 0)
--- a/core/process/cluster/presence.go
+++ b/core/process/cluster/presence.go
@@ -10,6 +10,9 @@
 // presence returns what this process says of itself. The caller holds the lock.
 func (c *Cluster) presence(now time.Time) peer.Presence {
 	p := peer.NewPresence(c.self.vm, c.self.address, c.self.centre, c.self.startID, c.routes.Revision())
+	if !c.list.Empty() {
+		p = p.WithList(c.list.Number(), now.Sub(c.list.ReadAt()))
+	}
 	if c.control == nil {
 		return p
 	}
@@ -22,11 +25,7 @@
 		}
 	}
 	sort.Strings(controls)
-	p = p.WithMembers(append(controls, c.self.address), c.entryVMs(now))
-	if !c.list.Empty() {
-		p = p.WithList(c.list.Number(), now.Sub(c.list.ReadAt()))
-	}
-	return p
+	return p.WithMembers(append(controls, c.self.address), c.entryVMs(now))
 }
 
 // beat sends a presence on every session. The presence of a control VM dates
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -83,6 +83,8 @@
 		c.mostEntryVMs = max(1, p.EntryVMs())
 	}
 	c.heard[p.Centre()] = now
+	number, _ := p.List()
+	c.heardNumber = max(c.heardNumber, number)
 	if k := c.controls[p.Address()]; k != nil {
 		k.heardAt = now
 	}
