Long responses are passed on as they come in

A response of over 256 KB on a plain route goes to the client while its rest is on its way; the beginning is held, so that a shorter response that breaks off can still be asked for again. A rest that breaks off ends the client's connection, so that it does not look whole, and one log line says why; the target counts as busy until the rest is read or given up. Weighed: passing everything on at once (a break after the header can't be mended elsewhere), holding up to 64 MB as before (memory, and the first byte waits for the last).

--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -103,8 +103,11 @@
 	q.cancelMu.Lock()
 	q.cancels = append(q.cancels, cancel)
 	q.cancelMu.Unlock()
-	s := &sending{query: q, part: n, lease: lease, cancel: cancel, attempt: relay.NewAttempt(
-		q.request, lease.Target().Instance(), plan.End(), q.state.Once())}
+	attempt := relay.NewAttempt(q.request, lease.Target().Instance(), plan.End(), q.state.Once())
+	if len(plan.Route().Shards()) > 0 {
+		attempt = attempt.Whole()
+	}
+	s := &sending{query: q, part: n, lease: lease, cancel: cancel, attempt: attempt}
 	go s.run(ctx)
 }
 
@@ -118,8 +121,43 @@
 	return min(late, time.Duration(lateMost*objective))
 }
 
+// deliver hands an outcome to the query, if it still waits for any.
+func (q *query) deliver(a arrival) {
+	q.cancelMu.Lock()
+	defer q.cancelMu.Unlock()
+	if q.ended {
+		a.discard()
+		return
+	}
+	q.results <- a
+}
+
+// discard closes the response of an outcome that is of no use.
+func (a arrival) discard() {
+	if answered, ok := a.outcome.(relay.Answered); ok {
+		answered.Response().Close()
+	}
+}
+
+// discardRest closes the responses that came too late to be taken. The caller
+// holds the lock of the cancels, so that none comes after them.
+func (q *query) discardRest() {
+	for {
+		select {
+		case a := <-q.results:
+			a.discard()
+		default:
+			return
+		}
+	}
+}
+
 func (q *query) take(a arrival, now time.Time) {
-	switch q.state.Take(a.part, a.outcome) {
+	next := q.state.Take(a.part, a.outcome)
+	if answered, ok := a.outcome.(relay.Answered); ok && !q.state.Holds(a.part, answered.Response()) {
+		a.discard()
+	}
+	switch next {
 	case relay.SendAgain:
 		q.again(a.part, false, now)
 	case relay.SendFree:
@@ -175,6 +213,7 @@
 	q.cancelMu.Lock()
 	defer q.cancelMu.Unlock()
 	q.ended = true
+	q.discardRest()
 	if q.state.Once() && left {
 		return
 	}
--- a/core/process/dispatch/sending.go
+++ b/core/process/dispatch/sending.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"sync"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
@@ -18,10 +20,40 @@
 }
 
 func (s *sending) run(ctx context.Context) {
-	defer s.cancel()
 	outcome := s.query.dispatcher.sender.Send(ctx, s.attempt, time.Now())
-	s.end(ctx, outcome, time.Now())
-	s.query.results <- arrival{part: s.part, outcome: outcome}
+	if answered, ok := outcome.(relay.Answered); ok && answered.Response().Rest() != nil {
+		outcome = s.streaming(ctx, answered)
+	} else {
+		s.end(ctx, outcome, time.Now())
+		s.cancel()
+	}
+	s.query.deliver(arrival{part: s.part, outcome: outcome})
+}
+
+// streaming keeps the lease and the time of the send until the rest of its
+// response has been read or given up.
+func (s *sending) streaming(ctx context.Context, o relay.Answered) relay.Answered {
+	r := o.Response()
+	rest := &leasedRest{ReadCloser: r.Rest(), ended: func() {
+		s.end(ctx, o, time.Now())
+		s.cancel()
+	}}
+	return relay.NewAnswered(r.WithRest(rest, r.Length()), o.Load())
+}
+
+// leasedRest is the rest of a response whose target counts as busy until it is
+// closed.
+type leasedRest struct {
+	io.ReadCloser
+	ended func()
+	once  sync.Once
+}
+
+// Close closes the rest and frees its target.
+func (l *leasedRest) Close() error {
+	err := l.ReadCloser.Close()
+	l.once.Do(l.ended)
+	return err
 }
 
 // end tells the fleet what the send showed.
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -5,6 +5,7 @@
 package relay
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -60,6 +61,7 @@
 	instance discovery.Instance
 	deadline time.Time
 	once     bool
+	whole    bool
 }
 
 // NewAttempt returns a send of a request to a target that must answer by the
@@ -68,6 +70,15 @@
 	return Attempt{request: r, instance: i, deadline: deadline, once: once}
 }
 
+// Whole returns the send as one whose response is of use only when it is whole.
+func (a Attempt) Whole() Attempt {
+	a.whole = true
+	return a
+}
+
+// NeedsWhole reports whether the response is of use only when it is whole.
+func (a Attempt) NeedsWhole() bool { return a.whole }
+
 // Request returns what is sent.
 func (a Attempt) Request() *Request { return a.request }
 
@@ -80,12 +91,15 @@
 // Once reports whether the request must not be sent twice.
 func (a Attempt) Once() bool { return a.once }
 
-// Response is what a target answered, whole.
+// Response is what a target answered: whole, or with a rest that is still on
+// its way.
 type Response struct {
 	status    int
 	header    http.Header
 	body      []byte
 	signature string
+	rest      io.ReadCloser
+	length    int64
 }
 
 // NewResponse returns a whole response with the target's signature.
@@ -99,9 +113,32 @@
 // Header returns the header without what concerns one connection only.
 func (r *Response) Header() http.Header { return r.header }
 
-// Body returns the whole body.
+// Body returns the body, or its beginning where a rest follows.
 func (r *Response) Body() []byte { return r.body }
 
+// WithRest returns the response with the rest of its body, which must be
+// closed, and the length of the whole body, -1 where it is not known.
+func (r *Response) WithRest(rest io.ReadCloser, length int64) *Response {
+	out := *r
+	out.rest = rest
+	out.length = length
+	return &out
+}
+
+// Rest returns what follows the beginning of the body, nil where it is whole.
+func (r *Response) Rest() io.ReadCloser { return r.rest }
+
+// Length returns the length of a body with a rest, -1 where it is not known.
+func (r *Response) Length() int64 { return r.length }
+
+// Close ends a response that nobody reads to its end.
+func (r *Response) Close() {
+	if r.rest != nil {
+		// What it ends with is of no interest to those who did not read it.
+		_ = r.rest.Close()
+	}
+}
+
 // Signature returns the signature of the target, empty for none.
 func (r *Response) Signature() string { return r.signature }
 
@@ -129,7 +166,7 @@
 // Outcome is what became of an attempt: Answered, Declined, Unsent or Lost.
 type Outcome interface{ outcome() }
 
-// Answered carries a whole response.
+// Answered carries a response that is whole, or whose rest is on its way.
 type Answered struct {
 	response *Response
 	load     Load
@@ -175,7 +212,7 @@
 // IsCrowded reports whether the target reset a new connection.
 func (o Lost) IsCrowded() bool { return o.crowded }
 
-// Response returns the whole response.
+// Response returns the response.
 func (o Answered) Response() *Response { return o.response }
 
 // Load returns what the target told of its load.
@@ -192,7 +229,7 @@
 func (Unsent) outcome()   {}
 func (Lost) outcome()     {}
 
-// NewAnswered returns a whole response, with the target's load.
+// NewAnswered returns a response, with the target's load.
 func NewAnswered(r *Response, load Load) Answered {
 	return Answered{response: r, load: load}
 }
--- a/core/request/relay/state.go
+++ b/core/request/relay/state.go
@@ -177,6 +177,11 @@
 	return s.again(p, SendAgain)
 }
 
+// Holds reports whether a response is the one that a part keeps for the answer.
+func (s *State) Holds(n int, r *Response) bool {
+	return s.parts[n].response == r || s.parts[n].failure == r
+}
+
 // usable reports whether a response settles its part with success. A response
 // from a shard must be a success; a plain route passes on whatever a target
 // says but that it failed.
