Sockets are opened and served in one place; causes in the log without their stacks

An error's stack trace made a line of a cut-off VM 2 KB long; a line names the other VM of a link in a field of its own, which was called like that of the VM itself.

--- /dev/null
+++ b/core/connection/listener/listener_test.go
@@ -0,0 +1,82 @@
+package listener_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/listener"
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+func TestAnAddressInUseOpensNone(t *testing.T) {
+	used, err := listener.Open("127.0.0.1:0")
+	assert.NilError(t, err)
+	defer used.Close()
+	free, err := listener.Open("127.0.0.1:0")
+	assert.NilError(t, err)
+	address := free.Addr().String()
+	assert.NilError(t, free.Close())
+	_, err = listener.OpenAll(address, used.Addr().String())
+	assert.Equal(t, result.CodeOf(err), result.ListenFailed)
+	again, err := net.Listen("tcp", address)
+	assert.NilError(t, err, "the first one is closed again")
+	assert.NilError(t, again.Close())
+}
+
+func TestAClosedServerIsNoFailure(t *testing.T) {
+	tests := []struct {
+		name   string
+		end    func(server *http.Server, socket net.Listener) error
+		failed bool
+	}{
+		{"the server is closed", func(server *http.Server, _ net.Listener) error { return server.Close() }, false},
+		{"the socket fails", func(_ *http.Server, socket net.Listener) error { return socket.Close() }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			socket, err := listener.Open("127.0.0.1:0")
+			assert.NilError(t, err)
+			failed := make(chan error, 1)
+			server := &http.Server{Handler: http.NotFoundHandler()}
+			listener.Start(server, socket, failed)
+			res, err := http.Get("http://" + socket.Addr().String())
+			assert.NilError(t, err)
+			assert.NilError(t, res.Body.Close())
+			assert.NilError(t, tt.end(server, socket))
+			select {
+			case err := <-failed:
+				assert.Assert(t, tt.failed, "%v", err)
+			case <-time.After(200 * time.Millisecond):
+				assert.Assert(t, !tt.failed)
+			}
+		})
+	}
+}
+
+func ExampleStart() {
+	socket, err := listener.Open("127.0.0.1:0")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "hello")
+	})}
+	listener.Start(server, socket, make(chan error, 1))
+	res, err := http.Get("http://" + socket.Addr().String())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	text, _ := io.ReadAll(res.Body)
+	fmt.Println(string(text))
+	_ = res.Body.Close()
+	_ = server.Close()
+	// Output: hello
+}
--- a/core/process/cluster/loops.go
+++ b/core/process/cluster/loops.go
@@ -6,11 +6,10 @@
 	"sort"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/connection/session"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 )
 
 const (
@@ -49,7 +48,7 @@
 
 func (l *controlLoop) run(ctx context.Context) {
 	if err := l.cluster.control.Run(ctx); err != nil {
-		l.cluster.log.Error("the control role ended", zap.Error(err))
+		l.cluster.log.Error("the control role ended", logsink.Cause(err))
 	}
 }
 
@@ -172,7 +171,7 @@
 	defer cancel()
 	instances, err := c.reader.Read(limited)
 	if err != nil {
-		c.log.Warn("the target list can't be read; the last one holds", zap.Error(err))
+		c.log.Warn("the target list can't be read; the last one holds", logsink.Cause(err))
 		return
 	}
 	now := time.Now()
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrydale/mulberrydale/core/connection/session"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 )
 
@@ -27,7 +28,7 @@
 	delete(c.sessions, s)
 	c.mu.Unlock()
 	if r != nil && r.known && r.presence.Address() != "" {
-		c.log.Info("lost a link to a control VM", zap.String("vm", r.presence.VM()), zap.String("address", r.presence.Address()))
+		c.log.Info("lost a link to a control VM", zap.String("control-vm", r.presence.VM()), zap.String("address", r.presence.Address()))
 	}
 }
 
@@ -35,7 +36,7 @@
 func (c *Cluster) Received(s *session.Session, payload []byte, now time.Time) {
 	message, err := peer.Decode(payload)
 	if err != nil {
-		c.log.Warn("a message of a peer can't be read", zap.Error(err))
+		c.log.Warn("a message of a peer can't be read", logsink.Cause(err))
 		s.Close()
 		return
 	}
@@ -64,7 +65,7 @@
 		return
 	}
 	if err := c.control.Deliver(m.Payload()); err != nil {
-		c.log.Warn("a message of the log can't be read", zap.Error(err))
+		c.log.Warn("a message of the log can't be read", logsink.Cause(err))
 	}
 }
 
@@ -92,7 +93,7 @@
 	mirror := c.freshMirror(r, now)
 	c.mu.Unlock()
 	if first && p.Address() != "" {
-		c.log.Info("linked to a control VM", zap.String("vm", p.VM()), zap.String("address", p.Address()), zap.Uint64("revision", p.Revision()))
+		c.log.Info("linked to a control VM", zap.String("control-vm", p.VM()), zap.String("address", p.Address()), zap.Uint64("revision", p.Revision()))
 	}
 	c.learn(append(p.Controls(), p.Address()), now)
 	c.receiveFindings(p, now)
--- a/core/process/control/faults.go
+++ b/core/process/control/faults.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
@@ -20,7 +21,7 @@
 	c.retryAt = now.Add(journalRetry)
 	if c.failedAt.IsZero() {
 		c.failedAt = now
-		c.log.Error("the journal can't be written; this VM leaves the log until it can", zap.Error(err))
+		c.log.Error("the journal can't be written; this VM leaves the log until it can", logsink.Cause(err))
 	}
 	c.node.StepDown(now)
 	c.node.TakeOutput()
--- a/core/process/logsink/logsink.go
+++ b/core/process/logsink/logsink.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -19,6 +21,10 @@
 	flushInterval = 200 * time.Millisecond
 )
 
+// Cause returns the field of a log line that says why something failed: the
+// message alone, without the stack that the error may carry.
+func Cause(err error) zap.Field { return zap.String("cause", err.Error()) }
+
 // Sink is a buffered writer of lines.
 type Sink struct {
 	out     io.Writer
--- a/mulberrydale/serve.go
+++ b/mulberrydale/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -11,12 +9,13 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/connection/listener"
 	"github.com/mulberrydale/mulberrydale/core/process/drain"
+	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/mulberrydale/operators"
 	"github.com/mulberrydale/mulberrydale/mulberrydale/settings"
@@ -57,7 +56,7 @@
 	}
 	defer func() { _ = log.Sync() }()
 	reporter := prometheus.NewReporter(prometheus.Options{OnRegisterError: func(err error) {
-		log.Error("a metric could not be registered", zap.Error(err))
+		log.Error("a metric could not be registered", logsink.Cause(err))
 	}})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "mulberrydale",
@@ -97,15 +96,15 @@
 func (s *server) serve() error {
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	sockets, err := s.listen()
+	sockets, err := listener.OpenAll(s.settings.CallersAddress(), s.settings.OperatorsAddress(), s.settings.PeersAddress())
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 3)
-	go (&httpLoop{server: s.callers, socket: sockets[0], failed: failed}).run()
-	go (&httpLoop{server: s.operators, socket: sockets[1], failed: failed}).run()
+	listener.Start(s.callers, sockets[0], failed)
+	listener.Start(s.operators, sockets[1], failed)
 	go (&vmLoop{vm: s.vm, socket: sockets[2], failed: failed}).run(ctx)
 	s.log.Info("serving", zap.String("callers", s.settings.CallersAddress()), zap.String("operators", s.settings.OperatorsAddress()))
 	select {
@@ -117,25 +116,6 @@
 	return nil
 }
 
-func (s *server) listen() ([]net.Listener, error) {
-	var out []net.Listener
-	for _, address := range []string{s.settings.CallersAddress(), s.settings.OperatorsAddress(), s.settings.PeersAddress()} {
-		socket, err := net.Listen("tcp", address)
-		if err != nil {
-			closeAll(out)
-			return nil, result.Wrap(err, result.ListenFailed, "address %s", address)
-		}
-		out = append(out, socket)
-	}
-	return out, nil
-}
-
-func closeAll(list []net.Listener) {
-	for _, c := range list {
-		_ = io.Closer(c).Close()
-	}
-}
-
 // leave serves on until the balancer has noticed, then finishes what runs.
 // Shutdown comes last: it closes idle connections at once, and a request that
 // is just being sent on one would be cut.
@@ -156,19 +136,6 @@
 	s.log.Info("stopped")
 }
 
-// httpLoop serves one socket.
-type httpLoop struct {
-	server *http.Server
-	socket net.Listener
-	failed chan<- error
-}
-
-func (l *httpLoop) run() {
-	if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
-		l.failed <- result.Wrap(err, result.ListenFailed, "serving %s", l.socket.Addr())
-	}
-}
-
 // vmLoop runs the roles.
 type vmLoop struct {
 	vm     *vm.VM
--- a/mulberrydale/vm/receive.go
+++ b/mulberrydale/vm/receive.go
@@ -9,6 +9,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
+	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
 )
@@ -70,7 +71,7 @@
 			return
 		}
 		if err := v.control.Deliver(m.Payload()); err != nil {
-			v.log.Warn("a message of the log can't be read", zap.String("from", from.VM()), zap.Error(err))
+			v.log.Warn("a message of the log can't be read", zap.String("from", from.VM()), logsink.Cause(err))
 		}
 	case peer.Push:
 		if v.accept(m.Version(), m.Document(), now) {
--- a/mulberrydale/vm/vm.go
+++ b/mulberrydale/vm/vm.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/entry"
+	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/membership"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
 	"github.com/mulberrydale/mulberrydale/core/version/configuration"
@@ -120,7 +121,7 @@
 	cfg, err := configuration.Decode(document)
 	if err != nil {
 		v.log.Error("an accepted configuration can't be read; this VM keeps the older one",
-			zap.Uint64("version", version), zap.Error(err))
+			zap.Uint64("version", version), logsink.Cause(err))
 		return false
 	}
 	v.accepted = accepted{version: version, document: document}
