One count of usable services; a question about the list changes nothing; refused forwards are logged

warmingUp set the time of the last reading while it was asked. A VM now notes its start, and the rank of the first reader is worked out once a look.

--- a/core/process/cluster/calls.go
+++ b/core/process/cluster/calls.go
@@ -7,6 +7,7 @@
 	"github.com/mulberrydale/mulberrydale/core/connection/frame"
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/connection/session"
+	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
@@ -155,10 +156,12 @@
 	}
 	command, err := replica.DecodeCommand(f.message.Payload())
 	if err != nil {
+		f.cluster.log.Warn("a forwarded change can't be read", logsink.Cause(err))
 		return nil
 	}
 	outcome, err := f.cluster.control.Propose(ctx, command)
 	if err != nil {
+		f.cluster.log.Info("a forwarded change was not accepted", logsink.Cause(err))
 		return nil
 	}
 	return replica.EncodeOutcome(outcome)
@@ -183,6 +186,7 @@
 	}
 	routes, err := f.cluster.control.Read(ctx)
 	if err != nil {
+		f.cluster.log.Info("a forwarded read was not confirmed", logsink.Cause(err))
 		return nil
 	}
 	enc := frame.NewEncoder()
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -92,7 +92,10 @@
 	sessions map[*session.Session]*remote
 	routes   replica.Routes
 	list     discovery.List
-	readAt   time.Time
+	// startedAt is when the process began to run its links, readAt when it last
+	// began to read the list.
+	startedAt time.Time
+	readAt    time.Time
 	// heardNumber is the highest number of a list that any VM told. A control
 	// VM that restarted knows none itself and must not begin below it: the
 	// entry VMs would keep their older lists.
@@ -136,6 +139,7 @@
 func (c *Cluster) Run(ctx context.Context, socket net.Listener) {
 	c.mu.Lock()
 	c.ctx = ctx
+	c.startedAt = time.Now()
 	c.mu.Unlock()
 	c.learn(c.seeds, time.Now())
 	if socket != nil {
--- a/core/process/cluster/loops.go
+++ b/core/process/cluster/loops.go
@@ -110,27 +110,24 @@
 func (c *Cluster) readDue(draw float64, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	firstReader := c.control != nil && c.readerRank(now) == 0
+	if c.readAt.IsZero() && c.list.Empty() {
+		// At the start only the first reader reads; the others are told soon.
+		return firstReader || now.Sub(c.startedAt) >= readInterval
+	}
 	if now.Sub(c.readAt) < readInterval {
 		return false
 	}
-	wait := entryPatience + time.Duration(draw*float64(entrySpread)*float64(c.mostEntryVMs))
-	if c.control != nil {
-		wait = readInterval + time.Duration(c.readerRank(now))*readerStep
-	}
-	return c.list.Empty() && c.control != nil && c.readerRank(now) == 0 || now.Sub(c.list.ReadAt()) >= wait && !c.warmingUp(now)
+	return firstReader && c.list.Empty() || now.Sub(c.list.ReadAt()) >= c.readPatience(draw, now)
 }
 
-// warmingUp reports whether a VM that is not the first reader has no list yet
-// and should wait for the one of the first reader.
-func (c *Cluster) warmingUp(now time.Time) bool {
-	if !c.list.Empty() {
-		return false
-	}
-	if c.readAt.IsZero() {
-		c.readAt = now
-		return true
+// readPatience returns the age of the list at which this VM reads it. The
+// caller holds the lock.
+func (c *Cluster) readPatience(draw float64, now time.Time) time.Duration {
+	if c.control == nil {
+		return entryPatience + time.Duration(draw*float64(entrySpread)*float64(c.mostEntryVMs))
 	}
-	return false
+	return readInterval + time.Duration(c.readerRank(now))*readerStep
 }
 
 // readerRank returns the number of control VMs that read before this one: the
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -145,20 +145,16 @@
 	if !now.Before(plan.End()) {
 		return relay.NewRefused(result.DeadlineTooShort, "no time is left for the request"), true
 	}
-	usable := 0
 	soon := 0
 	left := plan.Patience().Sub(now)
-	for _, s := range plan.Services() {
-		if d.fleet.Usable(s) == 0 {
-			continue
-		}
-		usable++
+	usable := d.usable(plan.Services())
+	for _, s := range usable {
 		if d.fleet.ExpectedWait(s, plan.Route().Priority(), now) <= left {
 			soon++
 		}
 	}
 	switch {
-	case usable < plan.Least():
+	case len(usable) < plan.Least():
 		return relay.NewRefused(result.NoTarget, "too few services have a target").After(retryAfter(retryUnknown, req)), true
 	case soon < plan.Least():
 		return relay.NewRefused(result.Overloaded, "the wait for a target would be too long").After(retryAfter(d.wait(plan, now), req)), true
@@ -166,6 +162,17 @@
 	return relay.Refused{}, false
 }
 
+// usable returns those of the services that have a target for requests.
+func (d *Dispatcher) usable(services []string) []string {
+	var out []string
+	for _, s := range services {
+		if d.fleet.Usable(s) > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // Servable reports whether the routes from shards have enough services with
 // a target that can be reached from here.
 func (d *Dispatcher) Servable() bool {
@@ -174,13 +181,7 @@
 		return false
 	}
 	for _, route := range table.Routes() {
-		usable := 0
-		for _, s := range route.Shards() {
-			if d.fleet.Usable(s) > 0 {
-				usable++
-			}
-		}
-		if len(route.Shards()) > 0 && usable < route.Least() {
+		if len(route.Shards()) > 0 && len(d.usable(route.Shards())) < route.Least() {
 			return false
 		}
 	}
