--- /dev/null
+++ b/core/connection/listing/listing.go
@@ -0,0 +1,56 @@
+// Package listing reads texts from a list that stands outside of the tier.
+package listing
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+// idleTimeout is how long a connection to the list is kept.
+const idleTimeout = 30 * time.Second
+
+// Client reads the texts at one address.
+type Client struct {
+	address  string
+	maxBytes int64
+	http     *http.Client
+}
+
+// NewClient returns a client of an IP number and port, for texts of at most
+// maxBytes. No proxy of the environment stands between.
+func NewClient(address string, maxBytes int64) *Client {
+	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}
+	return &Client{address: address, maxBytes: maxBytes, http: &http.Client{Transport: transport}}
+}
+
+// Get returns the whole text at a path.
+func (c *Client) Get(ctx context.Context, path string, query url.Values) ([]byte, error) {
+	at := url.URL{Scheme: "http", Host: c.address, Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, at.String(), http.NoBody)
+	if err != nil {
+		return nil, result.Wrap(err, result.BadAddress, "list at %s", c.address)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		// A connection that has gone silent must not be used again.
+		c.http.CloseIdleConnections()
+		return nil, result.Wrap(err, result.Unreachable, "list at %s", c.address)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, result.New(result.Unreachable, "list at %s: status %d", c.address, res.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(res.Body, c.maxBytes+1))
+	if err != nil {
+		return nil, result.Wrap(err, result.Unreachable, "list at %s", c.address)
+	}
+	if int64(len(text)) > c.maxBytes {
+		return nil, result.New(result.DocumentTooLarge, "list at %s: over %d bytes", c.address, c.maxBytes)
+	}
+	return text, nil
+}
--- a/mulberrydale/main.go
+++ b/mulberrydale/main.go
@@ -7,18 +7,26 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/mulberrydale/mulberrydale/core/process/host"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+	"github.com/mulberrydale/mulberrydale/mulberrydale/routes"
 	"github.com/mulberrydale/mulberrydale/mulberrydale/settings"
 )
 
 // version is the number of the release; see CHANGELOG.md.
-const version = "0.1.0"
+const version = "0.3.0"
 
 func main() {
 	app := kingpin.New("mulberrydale", "A query tier over many shards.")
 	serve := app.Command("serve", "Serve callers, peers and operators.")
 	serveSettings := serve.Flag("settings", "Settings file of this VM.").Required().String()
+	route := app.Command("route", "Answer callers by routes, with targets from a list.")
+	routeSettings := route.Flag("settings", "Settings file of this VM.").Required().String()
+	checkRoutes := app.Command("check-routes", "Check a document of routes.")
+	checkRoutesFile := checkRoutes.Arg("file", "Document of routes.").Required().String()
+	checkRouteSettings := app.Command("check-route-settings", "Check a settings file for route.")
+	checkRouteSettingsFile := checkRouteSettings.Arg("file", "Settings file.").Required().String()
 	check := app.Command("check", "Check a configuration file.")
 	checkFile := check.Arg("file", "Configuration file.").Required().String()
 	checkSettings := app.Command("check-settings", "Check a settings file.")
@@ -29,6 +37,12 @@
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case serve.FullCommand():
 		err = runServer(*serveSettings)
+	case route.FullCommand():
+		err = host.Run(*routeSettings, routes.Wire{})
+	case checkRoutes.FullCommand():
+		err = checkRoutesDocument(*checkRoutesFile)
+	case checkRouteSettings.FullCommand():
+		_, err = routes.ReadSettings(*checkRouteSettingsFile)
 	case check.FullCommand():
 		err = checkConfiguration(*checkFile)
 	case checkSettings.FullCommand():
@@ -42,6 +56,20 @@
 	}
 }
 
+// checkRoutesDocument prints a summary of a document of routes without faults.
+func checkRoutesDocument(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return result.Wrap(err, result.DocumentMissing, "routes")
+	}
+	t, err := routes.Decode(text)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d %s: version %d with %d routes\n", result.DocumentValid, result.DocumentValid, t.Version(), len(t.Routes()))
+	return nil
+}
+
 // checkConfiguration prints a summary of a file without faults.
 func checkConfiguration(path string) error {
 	text, err := os.ReadFile(path)
--- /dev/null
+++ b/mulberrydale/routes/document.go
@@ -0,0 +1,107 @@
+package routes
+
+import (
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/core/version/document"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
+)
+
+// Ranges of the numbers in a document.
+const (
+	maxVersion     = 1 << 53
+	maxRank        = 1 << 20
+	maxAttempts    = 1 << 10
+	maxWeight      = 1e12
+	maxTop         = 1 << 24
+	maxConnections = 1 << 30
+	maxBytes       = 1 << 40
+	maxRate        = 1e12
+	maxMillis      = 24 * 3600 * 1000
+)
+
+// Words for the kinds of requests.
+const (
+	kindIdempotent    = "idempotent"
+	kindNonIdempotent = "non-idempotent"
+)
+
+// Decode decodes and checks a document of routes, JSON with comments. An error
+// lists every fault with its code, place and remedy.
+func Decode(text []byte) (*routing.Table, error) {
+	doc, err := document.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	root := doc.Root()
+	version := root.Int("version", 1, maxVersion)
+	var routes []routing.Route
+	for _, o := range root.Objects("routes") {
+		routes = append(routes, decodeRoute(doc, o))
+	}
+	var services []routing.Service
+	for _, o := range root.Objects("services") {
+		services = append(services, decodeService(o))
+	}
+	limits := decodeLimits(root)
+	root.Done()
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	t := routing.NewTable(uint64(version), routes, services, limits)
+	return t, t.Check()
+}
+
+func decodeRoute(doc *document.Document, o *document.Object) routing.Route {
+	r := routing.NewRoute(o.String("name"), o.String("host"), o.String("path")).
+		WithTimes(o.Milliseconds("timeout-ms", 1, maxMillis), time.Duration(o.IntOr("objective-ms", 0, maxMillis, 0))*time.Millisecond).
+		WithPriority(o.IntOr("rank", 0, maxRank, 0)).
+		WithMaxAttempts(o.IntOr("attempts", 1, maxAttempts, 1))
+	switch kind := o.StringOr("kind", kindNonIdempotent); kind {
+	case kindIdempotent:
+	case kindNonIdempotent:
+		r = r.WithKind(routing.NonIdempotent)
+	default:
+		doc.Add(result.UnknownReference, o.Path()+"/kind", "the kind "+kind+" is not known", "write idempotent or non-idempotent")
+	}
+	if o.Has("shards") {
+		r = r.WithShards(o.Strings("shards"), o.Int("top", 1, maxTop), o.NumberOr("least-share", 0, 1, 1))
+	} else {
+		r = r.WithSplit(decodeSplit(o))
+	}
+	o.Done()
+	return r
+}
+
+func decodeSplit(o *document.Object) []routing.Share {
+	var split []routing.Share
+	for _, part := range o.Objects("services") {
+		split = append(split, routing.NewShare(part.String("name"), part.NumberOr("weight", 0, maxWeight, 1)))
+		part.Done()
+	}
+	return split
+}
+
+func decodeService(o *document.Object) routing.Service {
+	s := routing.NewService(o.String("name"), "").
+		WithMaxConnections(o.IntOr("connections", 0, maxConnections, 0)).
+		WithCold(time.Duration(o.IntOr("cold-ms", 0, maxMillis, 0))*time.Millisecond, o.NumberOr("cold-rate", 0, maxRate, 0))
+	o.Done()
+	return s
+}
+
+func decodeLimits(root *document.Object) routing.Limits {
+	if !root.Has("limits") {
+		return routing.Limits{}
+	}
+	o := root.Object("limits")
+	l := routing.NewLimits(
+		o.IntOr("header-bytes", 0, maxConnections, 0),
+		int64(o.IntOr("body-bytes", 0, maxBytes, 0)),
+		time.Duration(o.IntOr("header-ms", 0, maxMillis, 0))*time.Millisecond,
+		time.Duration(o.IntOr("idle-ms", 0, maxMillis, 0))*time.Millisecond,
+	)
+	o.Done()
+	return l
+}
--- /dev/null
+++ b/mulberrydale/routes/document_test.go
@@ -0,0 +1,144 @@
+package routes
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
+)
+
+const goodDocument = `{
+	// The morning edition.
+	"version": 7,
+	"routes": [
+		{"name": "round", "host": "rounds.example", "path": "/round/", "kind": "idempotent", "timeout-ms": 600, "objective-ms": 100,
+		 "rank": 1, "attempts": 2, "shards": ["s-1", "s-2"], "top": 20, "least-share": 0.5},
+		{"name": "redelivery", "host": "rounds.example", "path": "/redelivery/", "timeout-ms": 2000, "services": [{"name": "s-3"}]},
+		{"name": "door", "host": "doors.example", "path": "/", "kind": "idempotent", "timeout-ms": 2000,
+		 "services": [{"name": "s-1", "weight": 3}, {"name": "s-3", "weight": 1.5}]},
+	],
+	"services": [{"name": "s-1", "connections": 25}, {"name": "s-2"}, {"name": "s-3", "cold-ms": 2500, "cold-rate": 12.5}],
+	"limits": {"body-bytes": 262144, "idle-ms": 15000},
+}`
+
+func TestADocumentIsDecoded(t *testing.T) {
+	table, err := Decode([]byte(goodDocument))
+	assert.NilError(t, err)
+	assert.Equal(t, table.Version(), uint64(7))
+	shards, _ := table.Match("rounds.example", "/round/1")
+	assert.DeepEqual(t, shards.Shards(), []string{"s-1", "s-2"})
+	assert.Equal(t, shards.Kind(), routing.Idempotent)
+	assert.Equal(t, shards.Least(), 1)
+	assert.Equal(t, shards.Top(), 20)
+	assert.Equal(t, shards.Objective(), 100*time.Millisecond)
+	assert.Equal(t, shards.MaxAttempts(), 2)
+	once, _ := table.Match("rounds.example", "/redelivery/1")
+	assert.Equal(t, once.Kind(), routing.NonIdempotent, "what says nothing runs once")
+	split, _ := table.Match("doors.example", "/x")
+	assert.Equal(t, split.Split()[1].Weight(), 1.5)
+	service, _ := table.Service("s-3")
+	assert.Equal(t, service.ColdRate(), 12.5)
+	assert.Equal(t, service.ColdFor(), 2500*time.Millisecond)
+	assert.Equal(t, table.Limits().BodyBytes(), int64(262144))
+}
+
+func TestABadDocumentIsRefused(t *testing.T) {
+	tests := []struct {
+		name     string
+		from, to string
+		code     result.Code
+	}{
+		{"cut short", goodDocument, goodDocument[:200], result.Syntax},
+		{"no version", `"version": 7,`, ``, result.MissingKey},
+		{"an unknown key", `"rank": 1`, `"rnak": 1`, result.UnknownKey},
+		{"an unknown kind", `"kind": "idempotent"`, `"kind": "often"`, result.UnknownReference},
+		{"no time", `"timeout-ms": 600`, `"timeout-ms": 0`, result.LimitOutOfRange},
+		{"an unknown service", `["s-1", "s-2"]`, `["s-1", "s-9"]`, result.UnknownReference},
+		{"no service", `"services": [{"name": "s-3"}]`, `"services": []`, result.MissingKey},
+		{"weights of 0", `"weight": 3}, {"name": "s-3", "weight": 1.5`, `"weight": 0}, {"name": "s-3", "weight": 0`, result.LimitOutOfRange},
+		{"two routes on one place", `"path": "/redelivery/"`, `"path": "/round/"`, result.DuplicateName},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Decode([]byte(strings.Replace(goodDocument, tt.from, tt.to, 1)))
+			assert.Equal(t, result.CodeOf(err), tt.code, "%v", err)
+		})
+	}
+}
+
+const goodSettings = `{
+	"vm": "vm-1", "data-centre": "oulu-1", "first-start": true,
+	"seeds": ["127.0.0.1:7001"],
+	"callers-address": "127.0.0.1:8001", "readiness-address": "127.0.0.1:8002",
+	"operators-address": "127.0.0.1:9001", "sessions-address": "127.0.0.1:7001", "data-folder": "/var/lib/mulberrydale",
+	"targets-address": "127.0.0.1:9900", "losses": 2,
+	"further-sends": {"ratio": 0.2, "slack": 52, "window-ms": 10000},
+}`
+
+func TestSettingsAreDecoded(t *testing.T) {
+	s, err := DecodeSettings([]byte(goodSettings))
+	assert.NilError(t, err)
+	assert.Equal(t, s.VM(), "vm-1")
+	assert.Equal(t, s.Callers(), "127.0.0.1:8001")
+	assert.Equal(t, s.Operators(), "127.0.0.1:9001")
+	assert.Equal(t, s.Voters(), 5)
+	assert.Equal(t, s.GracePeriod(), 6*time.Second)
+	assert.Equal(t, s.FirstStart(), true)
+}
+
+func TestBadSettingsAreRefused(t *testing.T) {
+	tests := []struct {
+		name     string
+		from, to string
+		code     result.Code
+	}{
+		{"no name", `"vm": "vm-1",`, ``, result.MissingKey},
+		{"a seed by name", `["127.0.0.1:7001"]`, `["vm-2:7001"]`, result.BadAddress},
+		{"a control VM without a folder", `"data-folder": "/var/lib/mulberrydale",`, ``, result.MissingKey},
+		{"no list", `"targets-address": "127.0.0.1:9900",`, ``, result.MissingKey},
+		{"an unknown key", `"losses"`, `"loses"`, result.UnknownKey},
+		{"serves nobody", goodSettings, `{"vm": "a", "data-centre": "b", "seeds": [], "targets-address": "127.0.0.1:1"}`, result.MissingKey},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := DecodeSettings([]byte(strings.Replace(goodSettings, tt.from, tt.to, 1)))
+			assert.Equal(t, result.CodeOf(err), tt.code, "%v", err)
+		})
+	}
+}
+
+func TestABadTargetIsPassedOver(t *testing.T) {
+	good := `{"id": "i-1", "service": "s-1", "address": "127.0.0.1:80", "data-centre": "oulu-1", "slots": 2, "cold-ms": 1500}`
+	for _, bad := range []string{`{}`, `3`, strings.Replace(good, "127.0.0.1:80", "leaf-1:80", 1), strings.Replace(good, `"slots": 2`, `"slots": "two"`, 1)} {
+		out, n, err := decodeTargets([]byte(`{"targets": [` + good + `,` + bad + `]}`))
+		assert.NilError(t, err)
+		assert.Equal(t, n, 1, bad)
+		assert.Equal(t, len(out), 1, bad)
+		assert.Equal(t, out[0].ColdFor(), 1500*time.Millisecond)
+	}
+	for _, text := range []string{``, `{`, `{"targets": 3}`, `{"targets": [` + good} {
+		_, _, err := decodeTargets([]byte(text))
+		assert.Assert(t, err != nil, text)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(goodDocument))
+	f.Fuzz(func(_ *testing.T, text []byte) { _, _ = Decode(text) })
+}
+
+func ExampleDecode() {
+	table, err := Decode([]byte(goodDocument))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	route, ok := table.Match("doors.example", "/x")
+	fmt.Println(table.Version(), route.Name(), ok)
+	// Output: 7 door true
+}
--- /dev/null
+++ b/mulberrydale/routes/settings.go
@@ -0,0 +1,107 @@
+package routes
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/host"
+	"github.com/mulberrydale/mulberrydale/core/process/placement"
+	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/core/version/document"
+)
+
+// What holds where the settings name nothing.
+const (
+	defaultGraceMillis  = 6000
+	defaultLosses       = 1
+	defaultExtraRatio   = 0.1
+	defaultExtraWindow  = 10_000
+	defaultColdOverage  = 1.0
+	defaultMetrics      = "127.0.0.1:9464"
+	maxLosses           = 1000
+	maxRatio            = 100
+	maxRequestsInWindow = 1e6
+)
+
+// ReadSettings reads and checks a settings file.
+func ReadSettings(path string) (host.Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return host.Settings{}, result.Wrap(err, result.DocumentMissing, "settings")
+	}
+	return DecodeSettings(text)
+}
+
+// DecodeSettings decodes and checks the text of a settings file. An error lists
+// every fault with its code, place and remedy.
+func DecodeSettings(text []byte) (host.Settings, error) {
+	doc, err := document.Parse(text)
+	if err != nil {
+		return host.Settings{}, err
+	}
+	o := doc.Root()
+	s := host.NewSettings(o.String("vm"), o.String("data-centre"), addressOr(doc, o, "metrics-address", defaultMetrics)).
+		WithGracePeriod(time.Duration(o.IntOr("grace-ms", 0, maxMillis, defaultGraceMillis))*time.Millisecond).
+		WithSeeds(seeds(doc, o), o.BoolOr("first-start", false)).
+		WithTargets(addressOr(doc, o, "targets-address", ""), limits(o))
+	if o.Has("callers-address") {
+		s = s.WithCallers(addressOr(doc, o, "callers-address", ""), addressOr(doc, o, "readiness-address", ""))
+	}
+	if o.Has("operators-address") {
+		losses := o.IntOr("losses", 0, maxLosses, defaultLosses)
+		s = s.WithControl(addressOr(doc, o, "operators-address", ""), addressOr(doc, o, "sessions-address", ""),
+			o.String("data-folder"), 2*losses+1)
+	}
+	if s.Callers() == "" && s.Operators() == "" {
+		doc.Add(result.MissingKey, "", "this VM serves nobody", "name callers-address, operators-address or both")
+	}
+	o.Done()
+	return s, doc.Err()
+}
+
+// addressOr reads an IP number and port. Without a default the key must stand.
+func addressOr(doc *document.Document, o *document.Object, key, otherwise string) string {
+	text := otherwise
+	if otherwise == "" || o.Has(key) {
+		text = o.String(key)
+	}
+	if text != "" {
+		checkAddress(doc, o.Path()+"/"+key, text)
+	}
+	return text
+}
+
+func checkAddress(doc *document.Document, path, text string) {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		doc.Add(result.BadAddress, path, "this is no address", `write an IP number and a port, such as "127.0.0.1:9000"`)
+	}
+}
+
+func seeds(doc *document.Document, o *document.Object) []string {
+	out := o.Strings("seeds")
+	for _, seed := range out {
+		checkAddress(doc, "/seeds", seed)
+	}
+	return out
+}
+
+// limits reads the bounds that all VMs keep to together.
+func limits(o *document.Object) placement.Limits {
+	ratio, slack, window := defaultExtraRatio, 0.0, defaultExtraWindow
+	if o.Has("further-sends") {
+		f := o.Object("further-sends")
+		ratio = f.NumberOr("ratio", 0, maxRatio, ratio)
+		slack = f.NumberOr("slack", 0, maxRequestsInWindow, slack)
+		window = f.IntOr("window-ms", 1000, maxMillis, window)
+		f.Done()
+	}
+	overage, coldSlack := defaultColdOverage, 0.0
+	if o.Has("cold-targets") {
+		c := o.Object("cold-targets")
+		overage = c.NumberOr("overage", 0, maxRatio, overage)
+		coldSlack = c.NumberOr("slack", 0, maxRequestsInWindow, coldSlack)
+		c.Done()
+	}
+	return placement.NewLimits(ratio, slack, time.Duration(window)*time.Millisecond, overage, coldSlack)
+}
