--- a/core/connection/session/session.go
+++ b/core/connection/session/session.go
@@ -20,7 +20,7 @@
 	queueLength = 1024
 	// dialTimeout is short: a VM without power drops the request for
 	// a connection, and it is repeated by the kernel only after a second.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	// writeTimeout bounds one write; a link that can't take it is closed.
 	writeTimeout = 2 * time.Second
 	minRedial    = 50 * time.Millisecond
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -44,7 +44,7 @@
 	switch {
 	case !t.listed || t.leaving || f.out[t.instance.Centre()]:
 		return barred
-	case !t.room() || !t.coldRoom(now):
+	case !t.room(now) || !t.coldRoom(now):
 		return barred
 	case f.cut(t.instance.Centre()) && !f.trialDue(t, now):
 		return barred
--- a/core/process/placement/placement_test.go
+++ b/core/process/placement/placement_test.go
@@ -249,6 +249,33 @@
 	}
 }
 
+// The load: all VMs have lost power. Their targets still hold the connections
+// of before, so the new ones must fit beside them.
+func TestConnectionsAfterAStartFitBesideTheFormerOnes(t *testing.T) {
+	const limit, vms = 26, 9
+	f := fleet(service().WithMaxConnections(limit), "dc-1")
+	f.SetTargets(discovery.NewList([]discovery.Instance{discovery.NewInstance("i-0", "s-1", "10.0.0.1:80", "dc-1", 100)}, 2, start), start)
+	f.SetEntryVMs(vms, start)
+	open := func(now time.Time) int {
+		var leases []*placement.Lease
+		for {
+			l, ok := f.Acquire(placement.NewAsk("s-1", "k"), now)
+			if !ok {
+				break
+			}
+			leases = append(leases, l)
+		}
+		for _, l := range leases {
+			l.Unsent(now)
+		}
+		return len(leases)
+	}
+	later := open(start.Add(time.Minute))
+	first := open(start.Add(time.Second))
+	assert.Assert(t, first >= 1 && (first+later)*vms <= limit+vms, "%d, later %d", first, later)
+	assert.Assert(t, first < later)
+}
+
 func TestAColdTargetIsSpared(t *testing.T) {
 	const rate, vms = 40, 4
 	declared := service().WithMaxConnections(0).WithCold(3*time.Second, rate)
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -180,8 +180,8 @@
 }
 
 // room reports whether the share of this VM leaves room for one more.
-func (t *Target) room() bool {
-	return len(t.inFlight) < t.group.perTarget(t)
+func (t *Target) room(now time.Time) bool {
+	return len(t.inFlight) < t.group.perTarget(t, now)
 }
 
 // coldRoom reports whether a cold target may get one more in this second.
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 )
 
@@ -206,6 +208,19 @@
 	return o
 }
 
+// Cause returns why, in the words of the system or library that failed.
+func (o Unsent) Cause() string { return cause(o.err) }
+
+// Cause returns why, in the words of the system or library that failed.
+func (o Lost) Cause() string { return cause(o.err) }
+
+func cause(err error) string {
+	if err == nil {
+		return "not known"
+	}
+	return errors.UnwrapAll(err).Error()
+}
+
 // IsCrowded reports whether the target reset a new connection.
 func (o Unsent) IsCrowded() bool { return o.crowded }
 
--- a/core/request/relay/state.go
+++ b/core/request/relay/state.go
@@ -53,7 +53,9 @@
 	response *Response
 	// failure is a failure that a target answered, for want of a success.
 	failure *Response
-	tried   []*placement.Target
+	// cause is why the last send that failed gave no response.
+	cause string
+	tried []*placement.Target
 	// sends counts all sends, runs those that may have run.
 	sends   int
 	runs    int
@@ -164,11 +166,14 @@
 		}
 	case Declined:
 		p.runs--
+		p.cause = o.reason
 		return s.again(p, SendAgain)
 	case Unsent:
 		p.runs--
+		p.cause = o.Cause()
 		return s.again(p, SendFree)
 	case Lost:
+		p.cause = o.Cause()
 		if s.Once() {
 			s.settle(p)
 			return Nothing
@@ -296,5 +301,5 @@
 	case p.flying > 0:
 		return name + ": no response from " + p.tried[len(p.tried)-1].Instance().ID()
 	}
-	return name + ": lost at " + p.tried[len(p.tried)-1].Instance().ID()
+	return name + ": lost at " + p.tried[len(p.tried)-1].Instance().ID() + ", " + p.cause
 }
