Idle connections are kept only to preferred targets where connections are scarce

Where a target takes less than two connections of each VM, one to a target that is not preferred is closed after two idle seconds.

--- a/core/connection/upstream/upstream.go
+++ b/core/connection/upstream/upstream.go
@@ -23,16 +23,19 @@
 	// stops using a connection, so that both do not act at the same moment.
 	idlePart = 0.75
 	// sweepInterval is the time between two looks for connections to close.
-	sweepInterval = 2 * time.Second
+	sweepInterval = time.Second
 )
 
 // Conn is a connection to a target.
 type Conn struct {
 	net.Conn
-	reader   *bufio.Reader
-	pool     *Pool
-	address  string
-	idle     time.Duration
+	reader  *bufio.Reader
+	pool    *Pool
+	address string
+	// keep is how long the target keeps the connection idle, limit how long
+	// this side does, 0 for as long as the target.
+	keep     time.Duration
+	limit    time.Duration
 	usedAt   time.Time
 	requests int
 }
@@ -45,7 +48,17 @@
 
 // KeepFor takes over how long the target keeps an idle connection.
 func (c *Conn) KeepFor(d time.Duration) {
-	c.idle = time.Duration(idlePart * float64(d))
+	c.keep = time.Duration(idlePart * float64(d))
+}
+
+// LimitIdle bounds how long the connection may be idle, 0 for as long as the
+// target keeps it.
+func (c *Conn) LimitIdle(d time.Duration) { c.limit = d }
+
+// tooOld reports whether the connection has been idle for too long.
+func (c *Conn) tooOld(now time.Time) bool {
+	age := now.Sub(c.usedAt)
+	return age > c.keep || c.limit > 0 && age > c.limit
 }
 
 // Release gives the connection back for the next request.
@@ -124,8 +137,7 @@
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		age := now.Sub(c.usedAt)
-		if age > c.idle || within > 0 && age > within || !c.quiet() {
+		if c.tooOld(now) || within > 0 && now.Sub(c.usedAt) > within || !c.quiet() {
 			c.Discard()
 			continue
 		}
@@ -156,7 +168,7 @@
 	p.mu.Lock()
 	delete(p.closed, address)
 	p.mu.Unlock()
-	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), pool: p, address: address, idle: defaultIdle}, nil
+	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), pool: p, address: address, keep: defaultIdle}, nil
 }
 
 // Close closes the idle connections to addresses that no target has any more.
@@ -194,7 +206,7 @@
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.usedAt) > c.idle {
+			if c.tooOld(now) {
 				old = append(old, c)
 			} else {
 				kept = append(kept, c)
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -16,6 +16,9 @@
 	// spread is the part of the expected time by which equals are mixed, so
 	// that VMs do not all turn to the same target.
 	spread = 0.15
+	// spareIdle is how long a connection is kept idle to a target that this VM
+	// does not prefer, where connections are scarce.
+	spareIdle = 2 * time.Second
 	// rankMix is an odd number that spreads a hash over all its bits.
 	rankMix = 0x9E3779B97F4A7C15
 	// errorCost is what a certain failure costs: the time for another try.
@@ -103,6 +106,24 @@
 	return best
 }
 
+// idle returns how long a connection to a target is worth keeping idle. Where
+// the targets take less than two connections from each VM, only those to the
+// preferred ones are kept: they leave room for VMs that start while targets
+// still hold the connections of the processes before.
+//
+// For example, 76 VMs and three targets of a shard that take 70 connections
+// each: 26 VMs prefer each of them, and a hedge now and then adds some for
+// seconds.
+func (f *Fleet) idle(g *group, t *Target) time.Duration {
+	switch {
+	case g.declared.MaxConnections() <= 0 || g.declared.MaxConnections() >= 2*f.entryVMs:
+		return 0
+	case t.instance.Centre() == f.centre || t == f.home(g):
+		return 0
+	}
+	return spareIdle
+}
+
 // rankOf orders the targets of a service for a VM, for each VM in another way.
 func rankOf(vm, id string) uint64 {
 	h := fnv.New64a()
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -12,14 +12,19 @@
 	sentAt time.Time
 	// lateAt is when the response counts as overdue.
 	lateAt time.Time
+	idle   time.Duration
 }
 
+// Idle returns how long the connection to the target is worth keeping idle, 0
+// for as long as the target does.
+func (l *Lease) Idle() time.Duration { return l.idle }
+
 // Target returns the target that the request goes to.
 func (l *Lease) Target() *Target { return l.target }
 
 // lease counts a request at a target. The caller holds the lock.
 func (f *Fleet) lease(g *group, t *Target, kind string, extra bool, now time.Time) *Lease {
-	l := &Lease{fleet: f, target: t, kind: kind, extra: extra, sentAt: now}
+	l := &Lease{fleet: f, target: t, kind: kind, extra: extra, sentAt: now, idle: f.idle(g, t)}
 	if stats := g.latency(kind); stats.known() {
 		l.lateAt = now.Add(max(stats.late, time.Duration(float64(stats.late)*t.speed)))
 	}
--- a/core/process/placement/placement_test.go
+++ b/core/process/placement/placement_test.go
@@ -249,6 +249,39 @@
 	}
 }
 
+// The load: 76 VMs and three targets that take 70 connections each. Only those
+// to the preferred target are kept while they are idle.
+func TestSpareConnectionsAreNotKeptWhereTheyAreScarce(t *testing.T) {
+	tests := []struct {
+		name  string
+		vms   int
+		limit int
+		kept  map[string]bool
+	}{
+		{"scarce", 76, 70, map[string]bool{"i-1": true}},
+		{"enough for two each", 9, 26, map[string]bool{"i-0": true, "i-1": true, "i-2": true}},
+		{"no limit", 76, 0, map[string]bool{"i-0": true, "i-1": true, "i-2": true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := fleet(service().WithMaxConnections(tt.limit), "dc-2", "dc-1", "dc-3")
+			f.SetEntryVMs(tt.vms, start)
+			now := start.Add(time.Minute)
+			var tried []*placement.Target
+			kept := make(map[string]bool)
+			for range 3 {
+				l, ok := f.Acquire(placement.NewAsk("s-1", "k").Again(tried, true), now)
+				assert.Assert(t, ok)
+				tried = append(tried, l.Target())
+				if l.Idle() == 0 {
+					kept[l.Target().Instance().ID()] = true
+				}
+			}
+			assert.DeepEqual(t, kept, tt.kept)
+		})
+	}
+}
+
 // The load: all VMs have lost power. Their targets still hold the connections
 // of before, so the new ones must fit beside them.
 func TestConnectionsAfterAStartFitBesideTheFormerOnes(t *testing.T) {
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -64,6 +64,7 @@
 	deadline time.Time
 	once     bool
 	whole    bool
+	idle     time.Duration
 }
 
 // NewAttempt returns a send of a request to a target that must answer by the
@@ -78,6 +79,17 @@
 	return a
 }
 
+// WithIdle returns the send with the longest time for which its connection is
+// worth keeping idle, 0 for as long as the target does.
+func (a Attempt) WithIdle(d time.Duration) Attempt {
+	a.idle = d
+	return a
+}
+
+// Idle returns how long the connection is worth keeping idle, 0 for as long as
+// the target does.
+func (a Attempt) Idle() time.Duration { return a.idle }
+
 // NeedsWhole reports whether the response is of use only when it is whole.
 func (a Attempt) NeedsWhole() bool { return a.whole }
 
