A soak: real processes under drawn faults, checked from outside

runner soak starts three control VMs and three entry VMs of mulberrydale route as processes and plays 24 leafs itself. Faults are drawn and overlap: kills, SIGTERM, SIGHUP, pauses, lost disks, links between VMs that are slow, deaf, mute, silent or reset (through a loopback proxy; sessions-reached-at names it), leafs that are slow, refuse, fail, lose answers, hang, restart or leave, a list that is down. Checked: answers whole and of their own request, merged records, at most once, not run, no acknowledged version lost or read older, no request cut by a process that was not killed, service within 15 s, a data centre that is out gets nothing.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SCENARIO ?=
 
-.PHONY: build test lint wire-names unit replay demo up bench slopes fuzz platform platform-quiet platform-score platform-hunt clean
+.PHONY: build test lint wire-names unit replay demo up bench soak slopes fuzz platform platform-quiet platform-score platform-hunt clean
 
 build:
 	@mkdir -p build
@@ -65,6 +65,13 @@
 slopes:
 	go test -run '^$$' -bench . -benchtime 300ms ./core/...
 
+# Real processes under drawn faults, RUNS seeds from SEED on; a run that broke
+# a promise keeps its logs in build/soak.
+RUNS ?= 3
+SOAKTIME ?= 15s
+soak: build
+	./build/runner soak --seed $(SEED) --runs $(RUNS) --time $(SOAKTIME) --folder build/soak
+
 # Each codec and parser, for FUZZTIME.
 FUZZTIME ?= 10s
 fuzz:
@@ -78,6 +85,7 @@
 	go test -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZTIME) ./core/process/journal
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./core/request/query
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./mulberrydale/settings
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./mulberrydale/routes
 	go test -run '^$$' -fuzz FuzzDecodeConfig -fuzztime $(FUZZTIME) ./platform
 	go test -run '^$$' -fuzz FuzzDecodePage -fuzztime $(FUZZTIME) ./platform
 
--- a/core/connection/exchange/names.go
+++ b/core/connection/exchange/names.go
@@ -57,6 +57,9 @@
 // Signature names the header with a target's signature.
 func (n Names) Signature() string { return n.signature }
 
+// NotRun names the header that marks a request which its target did not run.
+func (n Names) NotRun() string { return n.notRun }
+
 // Parts names the header with the signatures of the parts of an answer.
 func (n Names) Parts() string { return n.parts }
 
--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -21,6 +21,7 @@
 	readiness   string
 	operators   string
 	sessions    string
+	reachedAt   string
 	metrics     string
 	seeds       []string
 	firstStart  bool
@@ -55,6 +56,13 @@
 	return s
 }
 
+// ReachedAt tells where other VMs reach the sessions of this one, where that is
+// another address than the one it listens on.
+func (s Settings) ReachedAt(address string) Settings {
+	s.reachedAt = address
+	return s
+}
+
 // WithSeeds tells the session addresses of some control VMs. On the first start
 // of the whole installation they found the log.
 func (s Settings) WithSeeds(seeds []string, firstStart bool) Settings {
@@ -118,8 +126,11 @@
 
 // ownSessions returns where other VMs reach this one, empty for an entry VM.
 func (s Settings) ownSessions() string {
-	if !s.controls() {
+	switch {
+	case !s.controls():
 		return ""
+	case s.reachedAt != "":
+		return s.reachedAt
 	}
 	return s.sessions
 }
--- a/mulberrydale/routes/settings.go
+++ b/mulberrydale/routes/settings.go
@@ -52,6 +52,9 @@
 		losses := o.IntOr("losses", 0, maxLosses, defaultLosses)
 		s = s.WithControl(addressOr(doc, o, "operators-address", ""), addressOr(doc, o, "sessions-address", ""),
 			o.String("data-folder"), 2*losses+1)
+		if o.Has("sessions-reached-at") {
+			s = s.ReachedAt(addressOr(doc, o, "sessions-reached-at", ""))
+		}
 	}
 	if s.Callers() == "" && s.Operators() == "" {
 		doc.Add(result.MissingKey, "", "this VM serves nobody", "name callers-address, operators-address or both")
--- a/runner/main.go
+++ b/runner/main.go
@@ -26,6 +26,12 @@
 	seed := bench.Flag("seed", "Seed of every draw.").Default("1").Uint64()
 	asJSON := bench.Flag("json", "Write the figures to this file as JSON lines too.").String()
 
+	soakCommand := app.Command("soak", "Run real processes under drawn faults and check the promises.")
+	soakSeed := soakCommand.Flag("seed", "Seed of the first run.").Default("1").Uint64()
+	soakRuns := soakCommand.Flag("runs", "Number of runs, each with the next seed.").Default("1").Int()
+	soakTime := soakCommand.Flag("time", "Time of faults in each run.").Default("15s").Duration()
+	soakFolder := soakCommand.Flag("folder", "Folder for the logs and data of the runs.").Default("soak").String()
+
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	var err error
@@ -36,6 +42,8 @@
 		err = runUp(ctx, *binaries, *upFile)
 	case bench.FullCommand():
 		err = runBench(ctx, *binaries, *benchFiles, *only, *seed, *asJSON)
+	case soakCommand.FullCommand():
+		err = runSoak(*binaries, *soakFolder, *soakSeed, *soakRuns, *soakTime)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/runner/soak.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrydale/mulberrydale/runner/soak"
+)
+
+// runSoak runs a number of seeds one after another. A run that broke a promise
+// keeps its folder with the logs of all processes.
+func runSoak(binaries, folder string, seed uint64, runs int, span time.Duration) error {
+	binary, err := filepath.Abs(filepath.Join(binaries, "mulberrydale"))
+	if err != nil {
+		return errors.Wrap(err, "binary")
+	}
+	root, err := filepath.Abs(folder)
+	if err != nil {
+		return errors.Wrap(err, "folder")
+	}
+	broken := 0
+	for n := range uint64(runs) {
+		if !soakOnce(binary, root, seed+n, span) {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Newf("%d of %d runs broke a promise; their logs are in %s", broken, runs, root)
+	}
+	return nil
+}
+
+func soakOnce(binary, root string, seed uint64, span time.Duration) bool {
+	r, err := soak.Start(binary, root, seed, os.Stdout)
+	defer r.Close()
+	if err != nil {
+		r.Say(err.Error())
+		return false
+	}
+	if len(r.Play(span)) > 0 {
+		return false
+	}
+	return r.Discard() == nil
+}
--- /dev/null
+++ b/runner/soak/operator.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// routeHost is the host of all routes.
+const routeHost = "soak.example"
+
+const (
+	operatorPause = 150 * time.Millisecond
+)
+
+// document returns the routes of a version.
+func document(version int) string {
+	var asked, services []string
+	for n := range shards {
+		asked = append(asked, fmt.Sprintf("%q", shardName(n)))
+		services = append(services, fmt.Sprintf(`{"name": %q, "connections": 30}`, shardName(n)))
+	}
+	times := fmt.Sprintf(`"timeout-ms": %d, "objective-ms": 300, "attempts": 2`, routeTime.Milliseconds())
+	return fmt.Sprintf(`{"version": %d, "routes": [
+	{"name": "shards", "host": %q, "path": %q, "kind": "idempotent", %s, "shards": [%s], "top": %d, "least-share": %g},
+	{"name": "once", "host": %q, "path": %q, "kind": "non-idempotent", %s, "services": [{"name": "once"}]},
+	{"name": "long", "host": %q, "path": %q, "kind": "idempotent", %s, "services": [{"name": "long"}]}],
+	"services": [{"name": "once", "connections": 30}, {"name": "long", "connections": 30}, %s]}`,
+		version, routeHost, pathShards, times, strings.Join(asked, ","), top, float64(leastShards)/shards,
+		routeHost, pathOnce, times, routeHost, pathLong, times, strings.Join(services, ","))
+}
+
+func shardName(n int) string { return fmt.Sprintf("shard-%d", n) }
+
+// operator publishes versions, takes a data centre out and back in, and checks
+// that nothing that was acknowledged is lost or read older.
+type operator struct {
+	run    *Run
+	client *http.Client
+
+	mu sync.Mutex
+	// version is the highest that was acknowledged.
+	version int
+	// sent is the highest version that was sent.
+	sent int
+}
+
+func newOperator(r *Run) *operator {
+	return &operator{run: r, client: &http.Client{Timeout: 1200 * time.Millisecond}}
+}
+
+// call sends a call to a control VM and returns its status, 0 for none.
+func (o *operator) call(v *vm, method, path, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+v.operator+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	res, err := o.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return res.StatusCode, string(text)
+}
+
+// loop publishes and reads until ctx ends.
+func (o *operator) loop(ctx context.Context, done *sync.WaitGroup) {
+	defer done.Done()
+	for n := 0; ctx.Err() == nil; n++ {
+		v := o.run.controls[n%len(o.run.controls)]
+		if n%3 == 0 {
+			o.publish(v)
+		} else {
+			o.read(v)
+		}
+		time.Sleep(operatorPause)
+	}
+}
+
+// publish sends the next version, or the one before again if that got no
+// answer.
+func (o *operator) publish(v *vm) bool {
+	o.mu.Lock()
+	version := o.version + 1
+	o.sent = max(o.sent, version)
+	o.mu.Unlock()
+	status, text := o.call(v, http.MethodPut, "/routes", document(version))
+	switch status {
+	case http.StatusOK:
+		o.mu.Lock()
+		o.version = version
+		o.mu.Unlock()
+		return true
+	case 0, http.StatusServiceUnavailable:
+	default:
+		o.run.fail("version %d was refused by %s: %d %s", version, v.name, status, text)
+	}
+	return false
+}
+
+var versionPattern = regexp.MustCompile(`^\{"version": (\d+),`)
+
+// read reads the routes. A read is confirmed by a quorum, so it is never older
+// than what was acknowledged before it.
+func (o *operator) read(v *vm) bool {
+	o.mu.Lock()
+	least := o.version
+	o.mu.Unlock()
+	status, text := o.call(v, http.MethodGet, "/routes", "")
+	if status != http.StatusOK {
+		return false
+	}
+	match := versionPattern.FindStringSubmatch(text)
+	if match == nil {
+		o.run.fail("%s gave no routes that were sent: %.100s", v.name, text)
+		return false
+	}
+	version, err := strconv.Atoi(match[1])
+	o.mu.Lock()
+	sent := o.sent
+	o.mu.Unlock()
+	if err != nil || version < least || version > sent || text != document(version) {
+		o.run.fail("%s gave version %d after %d was acknowledged and %d sent", v.name, version, least, sent)
+	}
+	return true
+}
+
+// until repeats a call to one control VM after another until one succeeds, and
+// reports whether it did before the limit.
+func (o *operator) until(limit time.Duration, call func(v *vm) bool) bool {
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(operatorPause) {
+		for _, v := range o.run.controls {
+			if call(v) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// withdraw takes a data centre out of service or back in.
+func (o *operator) withdraw(centre string, out bool) bool {
+	method := http.MethodDelete
+	if out {
+		method = http.MethodPut
+	}
+	return o.until(10*time.Second, func(v *vm) bool {
+		status, _ := o.call(v, method, "/data-centres/"+centre+"/out", "")
+		return status == http.StatusOK
+	})
+}
--- /dev/null
+++ b/runner/soak/soak_test.go
@@ -0,0 +1,36 @@
+package soak_test
+
+import (
+	"bytes"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrydale/mulberrydale/runner/soak"
+)
+
+// seeds are played in CI. A seed that ever broke a promise stays here, with
+// a line on its cause.
+var seeds = []struct {
+	seed uint64
+	span time.Duration
+}{
+	{1, 5 * time.Second},
+}
+
+func TestDrawnFaultsBreakNoPromise(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "mulberrydale")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/mulberrydale/mulberrydale/mulberrydale").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	for _, tt := range seeds {
+		var report bytes.Buffer
+		r, err := soak.Start(binary, t.TempDir(), tt.seed, &report)
+		defer r.Close()
+		assert.NilError(t, err)
+		broken := r.Play(tt.span)
+		assert.Equal(t, len(broken), 0, report.String())
+	}
+}
