A process that leaves takes no more requests once the balancer has moved on

Now the listener and idle connections close after the balancer's lag, and what runs has the rest of the time. Also from the soak, a fault of its own: two faults on one process ended by waiting for a life that nobody had told to stop.

--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -230,16 +230,20 @@
 		return
 	}
 	p.entry.Leave()
-	state := drain.New(balancerLag).Leave(began)
-	latest := began.Add(p.settings.gracePeriod - exitMargin)
+	grace := p.settings.gracePeriod
+	state := drain.New(min(balancerLag, grace*2/3)).Leave(began)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for now := began; now.Before(latest) && state.Phase(p.entry.Running(), now) < drain.Stopped; now = <-ticker.C {
+	for now := began; state.Phase(p.entry.Running(), now) < drain.Finishing; now = <-ticker.C {
 	}
-	limited, cancel := context.WithDeadline(ctx, latest)
+	// From here on no request is taken, also not from callers that go on using
+	// their connections; what runs has the rest of the time.
+	limited, cancel := context.WithDeadline(ctx, began.Add(grace-exitMargin))
 	defer cancel()
 	for _, server := range p.servers {
-		_ = server.Shutdown(limited)
+		if err := server.Shutdown(limited); err != nil {
+			p.log.Warn("requests were still running at the end", logsink.Cause(err))
+		}
 	}
 	p.log.Info("stopped", zap.Duration("after", time.Since(began)))
 }
--- a/runner/soak/faults.go
+++ b/runner/soak/faults.go
@@ -66,7 +66,7 @@
 	v := append(append([]*vm(nil), r.controls...), r.entries...)[r.rng.IntN(len(r.controls)+len(r.entries))]
 	switch r.rng.IntN(14) {
 	case 0, 1:
-		return r.down(v, syscall.SIGKILL, "killed "+v.name, nil)
+		return r.down(v, "killed "+v.name, nil)
 	case 2:
 		return r.stopped(v)
 	case 3:
@@ -75,7 +75,7 @@
 		return fault{"reload " + v.name, func() { v.signal(syscall.SIGHUP) }, func() {}}
 	case 5:
 		if mayWipe {
-			return r.down(c, syscall.SIGKILL, diskLost+c.name, c.wipe)
+			return r.down(c, diskLost+c.name, c.wipe)
 		}
 		return r.linkFault(c, proxy.Slow, "slow link of ")
 	case 6:
@@ -100,35 +100,36 @@
 	return fault{name + c.name, func() { c.link.Set(f) }, func() { c.link.Set(proxy.None) }}
 }
 
-// down ends a process and starts it again, after what happens between.
-func (r *Run) down(v *vm, s syscall.Signal, name string, between func() error) fault {
-	begin := func() { v.signal(s) }
-	end := func() {
-		// A process that is paused ends only after it goes on.
-		v.signal(syscall.SIGCONT)
-		r.restart(v, between)
-	}
-	return fault{name, begin, end}
+// down kills a process and starts it again, after what happens between.
+func (r *Run) down(v *vm, name string, between func() error) fault {
+	var life int
+	begin := func() { life = v.signal(syscall.SIGKILL) }
+	return fault{name, begin, func() { r.restart(v, life, between) }}
 }
 
 // stopped tells a process to leave and starts it again when it has.
 func (r *Run) stopped(v *vm) fault {
-	return fault{"stopped " + v.name, func() { v.signal(syscall.SIGTERM) }, func() { r.restart(v, nil) }}
+	var life int
+	return fault{"stopped " + v.name, func() { life = v.signal(syscall.SIGTERM) }, func() { r.restart(v, life, nil) }}
 }
 
-// restart waits for the end of a process and starts it, unless another fault
-// did already.
-func (r *Run) restart(v *vm, between func() error) {
+// restart waits for the end of a process in one of its lives and starts the
+// next, unless another fault did already.
+func (r *Run) restart(v *vm, life int, between func() error) {
 	v.restarting.Lock()
 	defer v.restarting.Unlock()
-	if between != nil && v.running() {
-		v.signal(syscall.SIGKILL)
+	if v.life() != life {
+		return
 	}
-	select {
-	case <-v.ended():
-	case <-time.After(stopLimit):
-		r.fail("%s still runs %v after it was told to stop", v.name, stopLimit)
-		v.kill()
+	for began := time.Now(); v.running(); time.Sleep(stopPoll) {
+		// A process that another fault has paused can't leave.
+		if v.pausedNow() {
+			began = time.Now()
+		}
+		if time.Since(began) > stopLimit {
+			r.fail("%s still runs %v after it was told to stop", v.name, stopLimit)
+			v.kill()
+		}
 	}
 	if between != nil {
 		if err := between(); err != nil {
@@ -148,7 +149,7 @@
 			v.link.Set(proxy.None)
 		}
 		if !v.running() {
-			r.restart(v, nil)
+			r.restart(v, v.life(), nil)
 		}
 	}
 	for _, l := range r.leafs {
--- a/runner/soak/process.go
+++ b/runner/soak/process.go
@@ -13,8 +13,12 @@
 	"github.com/mulberrydale/mulberrydale/runner/proxy"
 )
 
-// stopLimit is how long a process may take to leave after SIGTERM.
-const stopLimit = 8 * time.Second
+const (
+	// stopLimit is how long a process may take to leave after SIGTERM.
+	stopLimit = 8 * time.Second
+	// stopPoll is the time between two looks whether it has.
+	stopPoll = 20 * time.Millisecond
+)
 
 // vm is one process of the tier.
 type vm struct {
@@ -35,6 +39,9 @@
 	settings string
 	command  *exec.Cmd
 	exited   chan struct{}
+	// lives counts the starts.
+	lives  int
+	paused bool
 	// struckAt is when the process was last killed or paused.
 	struckAt time.Time
 }
@@ -64,6 +71,8 @@
 		return err
 	}
 	v.exited = make(chan struct{})
+	v.lives++
+	v.paused = false
 	go (&waitLoop{command: v.command, exited: v.exited}).run()
 	return nil
 }
@@ -80,15 +89,31 @@
 	close(l.exited)
 }
 
-// signal sends a signal to the process.
-func (v *vm) signal(s syscall.Signal) {
+// signal sends a signal to the process and returns in which of its lives.
+func (v *vm) signal(s syscall.Signal) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.paused = s == syscall.SIGSTOP || v.paused && s != syscall.SIGCONT
 	if s == syscall.SIGKILL || s == syscall.SIGSTOP || s == syscall.SIGCONT {
 		v.struckAt = time.Now()
 	}
 	// A process that has ended already needs no signal.
 	_ = v.command.Process.Signal(s)
+	return v.lives
+}
+
+// life returns the number of the present life.
+func (v *vm) life() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.lives
+}
+
+// pausedNow reports whether the process was paused and not told to go on.
+func (v *vm) pausedNow() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.paused
 }
 
 // ended returns a channel that is closed when the process has ended.
