--- a/runner/main.go
+++ b/runner/main.go
@@ -43,7 +43,7 @@
 	case bench.FullCommand():
 		err = runBench(ctx, *binaries, *benchFiles, *only, *seed, *asJSON)
 	case soakCommand.FullCommand():
-		err = runSoak(*binaries, *soakFolder, *soakSeed, *soakRuns, *soakTime)
+		err = runSoak(ctx, *binaries, *soakFolder, *soakSeed, *soakRuns, *soakTime)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/runner/soak.go
+++ b/runner/soak.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"time"
@@ -12,7 +13,7 @@
 
 // runSoak runs a number of seeds one after another. A run that broke a promise
 // keeps its folder with the logs of all processes.
-func runSoak(binaries, folder string, seed uint64, runs int, span time.Duration) error {
+func runSoak(ctx context.Context, binaries, folder string, seed uint64, runs int, span time.Duration) error {
 	binary, err := filepath.Abs(filepath.Join(binaries, "mulberrydale"))
 	if err != nil {
 		return errors.Wrap(err, "binary")
@@ -23,7 +24,10 @@
 	}
 	broken := 0
 	for n := range uint64(runs) {
-		if !soakOnce(binary, root, seed+n, span) {
+		if ctx.Err() != nil {
+			return errors.Wrapf(ctx.Err(), "after %d of %d runs", n, runs)
+		}
+		if !soakOnce(ctx, binary, root, seed+n, span) {
 			broken++
 		}
 	}
@@ -33,14 +37,14 @@
 	return nil
 }
 
-func soakOnce(binary, root string, seed uint64, span time.Duration) bool {
+func soakOnce(ctx context.Context, binary, root string, seed uint64, span time.Duration) bool {
 	r, err := soak.Start(binary, root, seed, os.Stdout)
 	defer r.Close()
 	if err != nil {
 		r.Say(err.Error())
 		return false
 	}
-	if len(r.Play(span)) > 0 {
+	if len(r.Play(ctx, span)) > 0 {
 		return false
 	}
 	return r.Discard() == nil
--- a/runner/soak/faults.go
+++ b/runner/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,11 +29,12 @@
 	end   func()
 }
 
-// faults draws faults for a time and waits for the end of each.
-func (r *Run) faults(span time.Duration) {
+// faults draws faults for a time, or until ctx ends, and waits for the end of
+// each.
+func (r *Run) faults(ctx context.Context, span time.Duration) {
 	var all sync.WaitGroup
 	var wipedAt time.Time
-	for began := time.Now(); time.Since(began) < span; {
+	for began := time.Now(); time.Since(began) < span && ctx.Err() == nil; {
 		f := r.draw(time.Since(wipedAt) > repairTime)
 		if strings.HasPrefix(f.name, diskLost) {
 			wipedAt = time.Now()
--- a/runner/soak/process.go
+++ b/runner/soak/process.go
@@ -23,6 +23,7 @@
 // vm is one process of the tier.
 type vm struct {
 	name     string
+	ip       string
 	binary   string
 	folder   string
 	callers  string
@@ -46,9 +47,13 @@
 	struckAt time.Time
 }
 
-// free returns an address on which nothing listens.
-func free() (string, error) {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+// loopbackOf returns the IP number of a run, so that runs at the same time take
+// no ports of each other.
+func loopbackOf(seed uint64) string { return fmt.Sprintf("127.0.%d.%d", 1+seed/250%250, 1+seed%250) }
+
+// free returns an address of an IP number on which nothing listens.
+func free(ip string) (string, error) {
+	socket, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return "", err
 	}
@@ -159,8 +164,8 @@
 func (v *vm) data() string { return filepath.Join(v.folder, "data") }
 
 // newVM prepares a process in a folder of its own. A control VM keeps the log.
-func newVM(binary, root, name string, control bool) (*vm, error) {
-	v := &vm{name: name, binary: binary, folder: filepath.Join(root, name)}
+func newVM(binary, root, ip, name string, control bool) (*vm, error) {
+	v := &vm{name: name, binary: binary, ip: ip, folder: filepath.Join(root, name)}
 	if err := os.MkdirAll(v.data(), 0o700); err != nil {
 		return nil, err
 	}
@@ -169,7 +174,7 @@
 		return nil, err
 	}
 	v.log = log
-	address, err := free()
+	address, err := free(ip)
 	if err != nil {
 		return nil, err
 	}
@@ -183,14 +188,14 @@
 
 // configure writes the settings of a process that knows the seeds.
 func (v *vm) configure(centre, seeds, list string, firstStart bool) error {
-	metrics, err := free()
+	metrics, err := free(v.ip)
 	if err != nil {
 		return err
 	}
 	common := fmt.Sprintf(`"vm": %q, "data-centre": %q, "seeds": [%s], "targets-address": %q, "metrics-address": %q, "grace-ms": 4000,
 	"further-sends": {"ratio": 0.3, "slack": 60}, "first-start": %t`, v.name, centre, seeds, list, metrics, firstStart)
 	if v.callers != "" {
-		ready, err := free()
+		ready, err := free(v.ip)
 		if err != nil {
 			return err
 		}
--- a/runner/soak/soak.go
+++ b/runner/soak/soak.go
@@ -114,22 +114,22 @@
 func (r *Run) startVMs(binary, list string) error {
 	var seeds []string
 	for n := range controlVMs {
-		v, err := newVM(binary, r.root, fmt.Sprintf("control-%d", n+1), true)
+		v, err := newVM(binary, r.root, loopbackOf(r.seed), fmt.Sprintf("control-%d", n+1), true)
 		if err != nil {
 			return err
 		}
-		sessions, err := free()
+		sessions, err := free(loopbackOf(r.seed))
 		if err != nil {
 			return err
 		}
-		if v.link, err = proxy.NewDuplex("127.0.0.1:0", sessions); err != nil {
+		if v.link, err = proxy.NewDuplex(loopbackOf(r.seed)+":0", sessions); err != nil {
 			return err
 		}
 		seeds = append(seeds, fmt.Sprintf("%q", v.link.Address()))
 		r.controls = append(r.controls, v)
 	}
 	for n := range entryVMs {
-		v, err := newVM(binary, r.root, fmt.Sprintf("entry-%d", n+1), false)
+		v, err := newVM(binary, r.root, loopbackOf(r.seed), fmt.Sprintf("entry-%d", n+1), false)
 		if err != nil {
 			return err
 		}
@@ -173,21 +173,21 @@
 	}
 }
 
-// Play runs faults for a time and returns what was broken, nothing for a run
-// that kept every promise.
-func (r *Run) Play(span time.Duration) []string {
+// Play runs faults for a time, or until ctx ends, and returns what was broken,
+// nothing for a run that kept every promise.
+func (r *Run) Play(ctx context.Context, span time.Duration) []string {
 	if !r.operator.until(settleLimit, r.operator.publish) || !r.awaitService() {
 		r.fail("no service at the start")
 		return r.violations
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	asking, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	all.Add(callers + 1)
 	for n := range callers {
-		go newCaller(r, n).loop(ctx, &all)
+		go newCaller(r, n).loop(asking, &all)
 	}
-	go r.operator.loop(ctx, &all)
-	r.faults(span)
+	go r.operator.loop(asking, &all)
+	r.faults(ctx, span)
 	r.heal()
 	if !r.awaitService() {
 		r.fail("no service %v after the last fault", settleLimit)
--- a/runner/soak/soak_test.go
+++ b/runner/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -30,7 +31,7 @@
 		r, err := soak.Start(binary, t.TempDir(), tt.seed, &report)
 		defer r.Close()
 		assert.NilError(t, err)
-		broken := r.Play(tt.span)
+		broken := r.Play(context.Background(), tt.span)
 		assert.Equal(t, len(broken), 0, report.String())
 	}
 }
