--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -49,28 +49,28 @@
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if n, err := conn.Write(s.names.encodeRequest(a, time.Now())); err != nil {
 		x.end(false)
-		crowded := turnedAway(conn, err)
+		overLimit := resetWhenNew(conn, err)
 		err = result.Wrap(err, result.Unreachable, "target %s", a.Instance().Address())
 		if n > 0 {
-			return lost(err, crowded)
+			return lost(err, overLimit)
 		}
-		if crowded {
-			return relay.NewUnsent(err).Crowded()
+		if overLimit {
+			return relay.NewUnsent(err).OverLimit()
 		}
 		return relay.NewUnsent(err)
 	}
 	return x.readResponse()
 }
 
-// turnedAway reports whether an error is the reset of a connection that carried
+// resetWhenNew reports whether an error is the reset of a connection that carried
 // no request before. A target resets connections beyond those that it takes.
-func turnedAway(conn *upstream.Conn, err error) bool {
+func resetWhenNew(conn *upstream.Conn, err error) bool {
 	return conn.Requests() == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 }
 
-func lost(err error, crowded bool) relay.Lost {
-	if crowded {
-		return relay.NewLost(err).Crowded()
+func lost(err error, overLimit bool) relay.Lost {
+	if overLimit {
+		return relay.NewLost(err).OverLimit()
 	}
 	return relay.NewLost(err)
 }
--- a/core/process/dispatch/sending.go
+++ b/core/process/dispatch/sending.go
@@ -78,20 +78,20 @@
 			s.lease.Unsent(now)
 			return
 		}
-		s.failed(o.IsCrowded(), now)
+		s.failed(o.IsOverLimit(), now)
 	case relay.Lost:
 		if ctx.Err() != nil && s.query.abandoned() {
 			s.lease.Abandoned(now)
 			return
 		}
-		s.failed(o.IsCrowded(), now)
+		s.failed(o.IsOverLimit(), now)
 	}
 }
 
 // failed ends the lease of a send without a usable response.
-func (s *sending) failed(crowded bool, now time.Time) {
-	if crowded {
-		s.lease.Crowded(now)
+func (s *sending) failed(overLimit bool, now time.Time) {
+	if overLimit {
+		s.lease.OverLimit(now)
 		return
 	}
 	s.lease.Silent(now)
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"hash/fnv"
-	"math/bits"
 	"math/rand/v2"
 	"time"
 )
@@ -16,11 +14,6 @@
 	// spread is the part of the expected time by which equals are mixed, so
 	// that VMs do not all turn to the same target.
 	spread = 0.15
-	// spareIdle is how long a connection is kept idle to a target that this VM
-	// does not prefer, where connections are scarce.
-	spareIdle = 2 * time.Second
-	// rankMix is an odd number that spreads a hash over all its bits.
-	rankMix = 0x9E3779B97F4A7C15
 	// errorCost is what a certain failure costs: the time for another try.
 	errorCost = 60 * time.Millisecond
 )
@@ -51,7 +44,7 @@
 		return barred
 	case f.cut(t.instance.Centre()) && !f.trialDue(t, now):
 		return barred
-	case f.cut(t.instance.Centre()) || now.Before(t.downTill) || now.Before(t.crowdedTill):
+	case f.cut(t.instance.Centre()) || now.Before(t.downTill) || now.Before(t.overLimitTill):
 		return down
 	case t.overdue(now):
 		return suspect
@@ -67,7 +60,7 @@
 
 // expected returns the time after which a request sent now should be answered,
 // with what a likely failure would cost.
-func (f *Fleet) expected(t, home *Target, median time.Duration, now time.Time) time.Duration {
+func (f *Fleet) expected(t, preferred *Target, median time.Duration, now time.Time) time.Duration {
 	if median <= 0 {
 		median = unknownTime
 	}
@@ -82,64 +75,17 @@
 		run += time.Duration(float64(run) * over / float64(slots))
 	}
 	run += time.Duration(t.errors * float64(errorCost))
-	if t != home && t.instance.Centre() != f.centre {
+	if t != preferred && t.instance.Centre() != f.centre {
 		run += distance
 	}
 	return time.Duration(float64(run) * (1 + spread*rand.Float64()))
 }
 
-// home returns the target that this VM prefers where the service has none in
-// its data centre, nil where it has. Each VM then keeps a connection to one of
-// them and learns how it does, instead of to all: with 76 VMs and three targets
-// of 70 connections each, not every VM can have one to each.
-func (f *Fleet) home(g *group) *Target {
-	var best *Target
-	for _, t := range g.targets {
-		switch {
-		case t.leaving || f.out[t.instance.Centre()] || f.cut(t.instance.Centre()):
-		case t.instance.Centre() == f.centre:
-			return nil
-		case best == nil || t.rank > best.rank:
-			best = t
-		}
-	}
-	return best
-}
-
-// idle returns how long a connection to a target is worth keeping idle. Where
-// the targets take less than two connections from each VM, only those to the
-// preferred ones are kept: they leave room for VMs that start while targets
-// still hold the connections of the processes before.
-//
-// For example, 76 VMs and three targets of a shard that take 70 connections
-// each: 26 VMs prefer each of them, and a hedge now and then adds some for
-// seconds.
-func (f *Fleet) idle(g *group, t *Target) time.Duration {
-	switch {
-	case g.declared.MaxConnections() <= 0 || g.declared.MaxConnections() >= 2*f.entryVMs:
-		return 0
-	case t.instance.Centre() == f.centre || t == f.home(g):
-		return 0
-	}
-	return spareIdle
-}
-
-// rankOf orders the targets of a service for a VM, for each VM in another way.
-func rankOf(vm, id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(vm))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(id))
-	// The last bytes alone change the low bits only.
-	sum := h.Sum64()
-	return bits.RotateLeft64(sum*rankMix, 32) * rankMix
-}
-
 // choose returns the target for a request, or nil where none has room. Those
 // that the request was sent to before are left out.
 func (f *Fleet) choose(g *group, kind string, avoid []*Target, now time.Time) *Target {
 	median := g.latency(kind).median
-	home := f.home(g)
+	preferred := f.preferred(g)
 	var best *Target
 	bestStanding := barred
 	var bestTime time.Duration
@@ -151,7 +97,7 @@
 		if s == barred || s > bestStanding {
 			continue
 		}
-		expected := f.expected(t, home, median, now)
+		expected := f.expected(t, preferred, median, now)
 		if s < bestStanding || expected < bestTime {
 			best = t
 			bestStanding = s
--- /dev/null
+++ b/core/process/placement/connections_test.go
@@ -0,0 +1,114 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/placement"
+)
+
+// The load: 76 VMs of data centres without targets of a service that has three.
+// Each keeps to one of them, and they share them out evenly.
+func TestVMsWithoutTargetsNearbySpreadOverThem(t *testing.T) {
+	const vms = 76
+	homes := make(map[string]int)
+	for n := range vms {
+		f := placement.NewFleet(fmt.Sprintf("front-dc-4-%d", n), "dc-4", limits, start)
+		f.SetTargets(list(1, "dc-1", "dc-2", "dc-3"), start)
+		counts := make(map[string]int)
+		now := start
+		for range 100 {
+			now = now.Add(30 * time.Millisecond)
+			counts[answer(t, f, now, func(string) time.Duration { return 10 * time.Millisecond })]++
+		}
+		for id, count := range counts {
+			if count > 80 {
+				homes[id]++
+			}
+		}
+	}
+	for _, id := range []string{"i-0", "i-1", "i-2"} {
+		assert.Assert(t, homes[id] > 12 && homes[id] < 40, "%v", homes)
+	}
+}
+
+func TestConnectionsAreSharedByAllVMs(t *testing.T) {
+	for _, vms := range []int{1, 3, 6, 9, 20, 60} {
+		f := fleet(service(), "dc-1")
+		f.SetTargets(discovery.NewList([]discovery.Instance{discovery.NewInstance("i-0", "s-1", "10.0.0.1:80", "dc-1", 100)}, 2, start), start)
+		f.SetEntryVMs(vms, start)
+		open := 0
+		for {
+			if _, ok := f.Acquire(placement.NewAsk("s-1", "k"), start); !ok {
+				break
+			}
+			open++
+		}
+		assert.Assert(t, open >= 1)
+		assert.Assert(t, open == 1 || open*vms <= 25, "%d VMs open %d each", vms, open)
+	}
+}
+
+// The load: 76 VMs and three targets that take 70 connections each. Only those
+// to the preferred target are kept while they are idle.
+func TestSpareConnectionsAreNotKeptWhereTheyAreScarce(t *testing.T) {
+	tests := []struct {
+		name  string
+		vms   int
+		limit int
+		kept  map[string]bool
+	}{
+		{"scarce", 76, 70, map[string]bool{"i-1": true}},
+		{"enough for two each", 9, 26, map[string]bool{"i-0": true, "i-1": true, "i-2": true}},
+		{"no limit", 76, 0, map[string]bool{"i-0": true, "i-1": true, "i-2": true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := fleet(service().WithMaxConnections(tt.limit), "dc-2", "dc-1", "dc-3")
+			f.SetEntryVMs(tt.vms, start)
+			now := start.Add(time.Minute)
+			var tried []*placement.Target
+			kept := make(map[string]bool)
+			for range 3 {
+				l, ok := f.Acquire(placement.NewAsk("s-1", "k").Again(tried, true), now)
+				assert.Assert(t, ok)
+				tried = append(tried, l.Target())
+				if l.Idle() == 0 {
+					kept[l.Target().Instance().ID()] = true
+				}
+			}
+			assert.DeepEqual(t, kept, tt.kept)
+		})
+	}
+}
+
+// The load: all VMs have lost power. Their targets still hold the connections
+// of before, so the new ones must fit beside them.
+func TestConnectionsAfterAStartFitBesideTheFormerOnes(t *testing.T) {
+	const limit, vms = 26, 9
+	f := fleet(service().WithMaxConnections(limit), "dc-1")
+	f.SetTargets(discovery.NewList([]discovery.Instance{discovery.NewInstance("i-0", "s-1", "10.0.0.1:80", "dc-1", 100)}, 2, start), start)
+	f.SetEntryVMs(vms, start)
+	open := func(now time.Time) int {
+		var leases []*placement.Lease
+		for {
+			l, ok := f.Acquire(placement.NewAsk("s-1", "k"), now)
+			if !ok {
+				break
+			}
+			leases = append(leases, l)
+		}
+		for _, l := range leases {
+			l.Unsent(now)
+		}
+		return len(leases)
+	}
+	later := open(start.Add(time.Minute))
+	first := open(start.Add(time.Second))
+	assert.Assert(t, first >= 1 && (first+later)*vms <= limit+vms, "%d, later %d", first, later)
+	assert.Assert(t, first < later)
+}
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -12,16 +12,8 @@
 )
 
 const (
-	// growth is how many more VMs than are heard may share a target's
-	// connections: some may just be starting.
-	growth = 1.25
 	// fewerAfter is how long VMs count that are not heard any more.
 	fewerAfter = 20 * time.Second
-	// formerConnections is how long after a start targets may still hold
-	// connections of the process before.
-	formerConnections = 10 * time.Second
-	// unlimited is the share of a target that declares no limit.
-	unlimited = 64
 	// defaultSlots is assumed of a target that does not tell its slots.
 	defaultSlots = 8
 )
@@ -105,32 +97,6 @@
 	return l
 }
 
-// perTarget returns how many requests this VM may have at a target at once:
-// its share of the connections, and no more than the target runs at a time.
-//
-// For example, 25 connections for up to 9 VMs are 2 for each.
-func (g *group) perTarget(t *Target, now time.Time) int {
-	slots := t.instance.Slots()
-	if slots <= 0 {
-		slots = defaultSlots
-	}
-	return min(g.fleet.share(g.declared, now), slots)
-}
-
-// share returns the connections to one target that this VM may open. After all
-// VMs have lost power, targets hold the connections of before for a while, as
-// if there were twice as many VMs; those beyond their limit they reset.
-func (f *Fleet) share(declared routing.Service, now time.Time) int {
-	if declared.MaxConnections() <= 0 {
-		return unlimited
-	}
-	vms := float64(f.entryVMs) * growth
-	if now.Sub(f.began) < formerConnections {
-		vms *= 2
-	}
-	return max(1, declared.MaxConnections()/(int(vms)+1))
-}
-
 // coldLimit returns the requests that this VM may send a cold target within
 // a second, -1 for no limit.
 func (g *group) coldLimit() int {
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -187,11 +187,11 @@
 	l.end(now)
 }
 
-// Crowded ends a lease whose new connection the target reset.
-func (l *Lease) Crowded(now time.Time) {
+// OverLimit ends a lease whose new connection the target reset.
+func (l *Lease) OverLimit(now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	l.target.crowded(now)
+	l.target.overLimit(now)
 	l.fleet.wayTo(l.target.instance.Centre()).silences = 0
 	l.end(now)
 }
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -34,9 +34,9 @@
 	// stuckAfter is how long after it became overdue a request shows that its
 	// target is slow or silent: targets pause for up to 120 ms.
 	stuckAfter = 150 * time.Millisecond
-	// crowdedPause is the least pause after a target took no connection, and the
+	// overLimitPause is the least pause after a target took no connection, and the
 	// span over which VMs spread beyond it, so that they don't return together.
-	crowdedPause = time.Second
+	overLimitPause = time.Second
 	// loadFades is the time after which a told load has lost most of its
 	// meaning.
 	loadFades = 40 * time.Millisecond
@@ -64,8 +64,8 @@
 	// downTill is the end of the pause after silence or a refused connection.
 	downTill time.Time
 	failures int
-	// crowdedTill is the end of the pause after the target took no connection.
-	crowdedTill time.Time
+	// overLimitTill is the end of the pause after the target took no connection.
+	overLimitTill time.Time
 	// load is what the target last told, less what this VM had there.
 	load   float64
 	loadAt time.Time
@@ -173,10 +173,10 @@
 	t.speed = min(t.speed, 1)
 }
 
-// crowded takes in that the target reset a new connection: it has as many as
+// overLimit takes in that the target reset a new connection: it has as many as
 // it takes. That says nothing of how it does for VMs that have one.
-func (t *Target) crowded(now time.Time) {
-	t.crowdedTill = now.Add(crowdedPause + time.Duration(rand.Int64N(int64(crowdedPause))))
+func (t *Target) overLimit(now time.Time) {
+	t.overLimitTill = now.Add(overLimitPause + time.Duration(rand.Int64N(int64(overLimitPause))))
 }
 
 // room reports whether the share of this VM leaves room for one more.
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -195,28 +195,28 @@
 
 // Unsent says that no byte of the request left.
 type Unsent struct {
-	err     error
-	crowded bool
+	err       error
+	overLimit bool
 }
 
 // Lost says that the request left and that no usable response came back: it
 // may have run.
 type Lost struct {
-	err     error
-	crowded bool
+	err       error
+	overLimit bool
 }
 
-// Crowded returns the outcome as one of a new connection that the target
+// OverLimit returns the outcome as one of a new connection that the target
 // reset, as it does when it has as many as it takes.
-func (o Unsent) Crowded() Unsent {
-	o.crowded = true
+func (o Unsent) OverLimit() Unsent {
+	o.overLimit = true
 	return o
 }
 
-// Crowded returns the outcome as one of a new connection that the target
+// OverLimit returns the outcome as one of a new connection that the target
 // reset, as it does when it has as many as it takes.
-func (o Lost) Crowded() Lost {
-	o.crowded = true
+func (o Lost) OverLimit() Lost {
+	o.overLimit = true
 	return o
 }
 
@@ -233,11 +233,11 @@
 	return errors.UnwrapAll(err).Error()
 }
 
-// IsCrowded reports whether the target reset a new connection.
-func (o Unsent) IsCrowded() bool { return o.crowded }
+// IsOverLimit reports whether the target reset a new connection.
+func (o Unsent) IsOverLimit() bool { return o.overLimit }
 
-// IsCrowded reports whether the target reset a new connection.
-func (o Lost) IsCrowded() bool { return o.crowded }
+// IsOverLimit reports whether the target reset a new connection.
+func (o Lost) IsOverLimit() bool { return o.overLimit }
 
 // Response returns the response.
 func (o Answered) Response() *Response { return o.response }
