A caller that reads a long response slowly does not make its target slow

Seen while reading the diff: the time to the end of a streamed response passed for the target's, and was told to other VMs. What counts is when it began. The test fails without this.

--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -13,6 +13,18 @@
 	// lateAt is when the response counts as overdue.
 	lateAt time.Time
 	idle   time.Duration
+	// begunAt is when a long response began, zero for one that came whole.
+	begunAt time.Time
+}
+
+// Begun notes that a response has begun whose rest is on its way. How long the
+// rest takes depends on the caller that reads it, and says nothing of the
+// target.
+func (l *Lease) Begun(now time.Time) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	l.begunAt = now
+	l.lateAt = time.Time{}
 }
 
 // Idle returns how long the connection to the target is worth keeping idle, 0
@@ -150,6 +162,9 @@
 	defer l.fleet.mu.Unlock()
 	l.target.seenAt = now
 	took := now.Sub(l.sentAt)
+	if !l.begunAt.IsZero() {
+		took = l.begunAt.Sub(l.sentAt)
+	}
 	stats := l.target.group.latency(l.kind)
 	l.target.succeeded(took, stats.median)
 	l.fleet.wayTo(l.target.instance.Centre()).silences = 0
--- a/core/process/placement/placement_test.go
+++ b/core/process/placement/placement_test.go
@@ -97,6 +97,29 @@
 	assert.Assert(t, counts["i-0"] >= 5, "it must be tried again: %v", counts)
 }
 
+// The load: callers read long responses slowly. Their target is not slow.
+func TestASlowReaderDoesNotMakeItsTargetSlow(t *testing.T) {
+	f := fleet(service(), "dc-1", "dc-1")
+	now := start
+	for range 60 {
+		now = now.Add(10 * time.Millisecond)
+		answer(t, f, now, func(string) time.Duration { return 10 * time.Millisecond })
+	}
+	for range 6 {
+		l, ok := f.Acquire(placement.NewAsk("s-1", "k"), now)
+		assert.Assert(t, ok)
+		l.Begun(now.Add(10 * time.Millisecond))
+		now = now.Add(time.Second)
+		for _, finding := range f.Findings(now) {
+			assert.Assert(t, !finding.Bad())
+		}
+		l.Succeeded(now)
+		for _, finding := range f.Findings(now) {
+			assert.Assert(t, !finding.Bad())
+		}
+	}
+}
+
 // The load: a target pauses, with requests from here on their way.
 func TestAPausingTargetGetsNothingNew(t *testing.T) {
 	f := fleet(service(), "dc-1", "dc-1", "dc-1")
