--- a/runner/soak.go
+++ b/runner/soak.go
@@ -27,7 +27,11 @@
 		if ctx.Err() != nil {
 			return errors.Wrapf(ctx.Err(), "after %d of %d runs", n, runs)
 		}
-		if !soakOnce(ctx, binary, root, seed+n, span) {
+		kept, err := soakOnce(ctx, binary, root, seed+n, span)
+		if err != nil {
+			return err
+		}
+		if !kept {
 			broken++
 		}
 	}
@@ -37,15 +41,14 @@
 	return nil
 }
 
-func soakOnce(ctx context.Context, binary, root string, seed uint64, span time.Duration) bool {
+func soakOnce(ctx context.Context, binary, root string, seed uint64, span time.Duration) (kept bool, err error) {
 	r, err := soak.Start(binary, root, seed, os.Stdout)
-	defer r.Close()
 	if err != nil {
-		r.Say(err.Error())
-		return false
+		return false, errors.Wrapf(err, "seed %d", seed)
 	}
+	defer r.Close()
 	if len(r.Play(ctx, span)) > 0 {
-		return false
+		return false, nil
 	}
-	return r.Discard() == nil
+	return true, r.Discard()
 }
--- a/runner/soak/soak.go
+++ b/runner/soak/soak.go
@@ -63,15 +63,23 @@
 func Start(binary, root string, seed uint64, out io.Writer) (*Run, error) {
 	r := &Run{seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), root: filepath.Join(root, fmt.Sprintf("seed-%d", seed)), out: out,
 		journal: &journal{runs: make(map[string]int), lastAt: make(map[string]time.Time)}}
+	r.operator = newOperator(r)
+	if err := r.start(binary); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Run) start(binary string) error {
 	if err := os.MkdirAll(r.root, 0o700); err != nil {
-		return r, errors.Wrap(err, "folder")
+		return errors.Wrap(err, "folder")
 	}
-	r.operator = newOperator(r)
 	list, err := r.startTargets()
 	if err != nil {
-		return r, err
+		return err
 	}
-	return r, r.startVMs(binary, list)
+	return r.startVMs(binary, list)
 }
 
 // startTargets starts the leafs and the list that names them.
@@ -290,9 +298,6 @@
 	r.say("seed %d: BROKEN: %s", r.seed, text)
 }
 
-// Say writes a line to the report.
-func (r *Run) Say(text string) { r.say("%s", text) }
-
 // Discard removes the logs and data of the run.
 func (r *Run) Discard() error { return os.RemoveAll(r.root) }
 
--- a/runner/soak/soak_test.go
+++ b/runner/soak/soak_test.go
@@ -29,9 +29,9 @@
 	for _, tt := range seeds {
 		var report bytes.Buffer
 		r, err := soak.Start(binary, t.TempDir(), tt.seed, &report)
-		defer r.Close()
 		assert.NilError(t, err)
 		broken := r.Play(context.Background(), tt.span)
+		r.Close()
 		assert.Equal(t, len(broken), 0, report.String())
 	}
 }
