--- a/mulberrydale/routes/document_test.go
+++ b/mulberrydale/routes/document_test.go
@@ -16,10 +16,10 @@
 	// The morning edition.
 	"version": 7,
 	"routes": [
-		{"name": "round", "host": "rounds.example", "path": "/round/", "kind": "idempotent", "timeout-ms": 600, "objective-ms": 100,
+		{"name": "round", "host": "rounds.example", "path": "/round/", "kind": "idempotent", "time-limit-ms": 600, "objective-ms": 100,
 		 "rank": 1, "attempts": 2, "shards": ["s-1", "s-2"], "top": 20, "least-share": 0.5},
-		{"name": "redelivery", "host": "rounds.example", "path": "/redelivery/", "timeout-ms": 2000, "services": [{"name": "s-3"}]},
-		{"name": "door", "host": "doors.example", "path": "/", "kind": "idempotent", "timeout-ms": 2000,
+		{"name": "redelivery", "host": "rounds.example", "path": "/redelivery/", "time-limit-ms": 2000, "services": [{"name": "s-3"}]},
+		{"name": "door", "host": "doors.example", "path": "/", "kind": "idempotent", "time-limit-ms": 2000,
 		 "services": [{"name": "s-1", "weight": 3}, {"name": "s-3", "weight": 1.5}]},
 	],
 	"services": [{"name": "s-1", "connections": 25}, {"name": "s-2"}, {"name": "s-3", "cold-ms": 2500, "cold-rate": 12.5}],
@@ -57,7 +57,7 @@
 		{"no version", `"version": 7,`, ``, result.MissingKey},
 		{"an unknown key", `"rank": 1`, `"rnak": 1`, result.UnknownKey},
 		{"an unknown kind", `"kind": "idempotent"`, `"kind": "often"`, result.UnknownReference},
-		{"no time", `"timeout-ms": 600`, `"timeout-ms": 0`, result.LimitOutOfRange},
+		{"no time", `"time-limit-ms": 600`, `"time-limit-ms": 0`, result.LimitOutOfRange},
 		{"an unknown service", `["s-1", "s-2"]`, `["s-1", "s-9"]`, result.UnknownReference},
 		{"no service", `"services": [{"name": "s-3"}]`, `"services": []`, result.MissingKey},
 		{"weights of 0", `"weight": 3}, {"name": "s-3", "weight": 1.5`, `"weight": 0}, {"name": "s-3", "weight": 0`, result.LimitOutOfRange},
--- a/runner/soak/operator.go
+++ b/runner/soak/operator.go
@@ -26,7 +26,7 @@
 		asked = append(asked, fmt.Sprintf("%q", shardName(n)))
 		services = append(services, fmt.Sprintf(`{"name": %q, "connections": 30}`, shardName(n)))
 	}
-	times := fmt.Sprintf(`"timeout-ms": %d, "objective-ms": 300, "attempts": 2`, routeTime.Milliseconds())
+	times := fmt.Sprintf(`"time-limit-ms": %d, "objective-ms": 300, "attempts": 2`, routeTime.Milliseconds())
 	return fmt.Sprintf(`{"version": %d, "routes": [
 	{"name": "shards", "host": %q, "path": %q, "kind": "idempotent", %s, "shards": [%s], "top": %d, "least-share": %g},
 	{"name": "once", "host": %q, "path": %q, "kind": "non-idempotent", %s, "services": [{"name": "once"}]},
