--- a/runner/main.go
+++ b/runner/main.go
@@ -30,7 +30,7 @@
 	soakSeed := soakCommand.Flag("seed", "Seed of the first run.").Default("1").Uint64()
 	soakRuns := soakCommand.Flag("runs", "Number of runs, each with the next seed.").Default("1").Int()
 	soakTime := soakCommand.Flag("time", "Time of faults in each run.").Default("15s").Duration()
-	soakFolder := soakCommand.Flag("folder", "Folder for the logs and data of the runs.").Default("soak").String()
+	soakFolder := soakCommand.Flag("folder", "Folder for the logs and data of the runs.").Default("build/soak").String()
 
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
