--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -52,12 +52,9 @@
 		overLimit := resetWhenNew(conn, err)
 		err = result.Wrap(err, result.Unreachable, "target %s", a.Instance().Address())
 		if n > 0 {
-			return lost(err, overLimit)
+			return relay.NewLost(err).OverLimit(overLimit)
 		}
-		if overLimit {
-			return relay.NewUnsent(err).OverLimit()
-		}
-		return relay.NewUnsent(err)
+		return relay.NewUnsent(err).OverLimit(overLimit)
 	}
 	return x.readResponse()
 }
@@ -68,13 +65,6 @@
 	return conn.Requests() == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 }
 
-func lost(err error, overLimit bool) relay.Lost {
-	if overLimit {
-		return relay.NewLost(err).OverLimit()
-	}
-	return relay.NewLost(err)
-}
-
 // encodeRequest writes the request for a target in one piece, with the path and
 // query just as the caller wrote them. It goes to its connection by hand, so
 // that nothing sends it a second time.
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -25,7 +25,6 @@
 	"github.com/mulberrydale/mulberrydale/core/process/gateway"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
-	"github.com/mulberrydale/mulberrydale/core/result"
 )
 
 const (
@@ -67,11 +66,7 @@
 // leaves without a cut.
 func Run(path string, w Wire) error {
 	debug.SetGCPercent(collectAt)
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return result.Wrap(err, result.DocumentMissing, "settings")
-	}
-	settings, err := w.Settings(text)
+	settings, text, err := readSettings(path, w)
 	if err != nil {
 		return err
 	}
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -110,14 +110,7 @@
 
 // stuck reports whether a request sent from here is overdue for so long that
 // the target does not just pause.
-func (t *Target) stuck(now time.Time) bool {
-	for l := range t.inFlight {
-		if !l.lateAt.IsZero() && now.Sub(l.lateAt) > stuckAfter {
-			return true
-		}
-	}
-	return false
-}
+func (t *Target) stuck(now time.Time) bool { return t.overdue(now.Add(-stuckAfter)) }
 
 // othersLoad returns what is left of the load that the target last told.
 func (t *Target) othersLoad(now time.Time) float64 {
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -207,16 +207,16 @@
 }
 
 // OverLimit returns the outcome as one of a new connection that the target
-// reset, as it does when it has as many as it takes.
-func (o Unsent) OverLimit() Unsent {
-	o.overLimit = true
+// reset or not, as it does when it has as many as it takes.
+func (o Unsent) OverLimit(reset bool) Unsent {
+	o.overLimit = reset
 	return o
 }
 
 // OverLimit returns the outcome as one of a new connection that the target
-// reset, as it does when it has as many as it takes.
-func (o Lost) OverLimit() Lost {
-	o.overLimit = true
+// reset or not, as it does when it has as many as it takes.
+func (o Lost) OverLimit(reset bool) Lost {
+	o.overLimit = reset
 	return o
 }
 
--- a/core/version/document/document.go
+++ b/core/version/document/document.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -57,6 +58,13 @@
 	d.addAt(code, path, offset, "%s", remedy, message)
 }
 
+// CheckAddress notes a fault where a text is no IP number with a port.
+func (d *Document) CheckAddress(path, text string) {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		d.Add(result.BadAddress, path, "this is no address", `write an IP number and a port, such as "127.0.0.1:9000"`)
+	}
+}
+
 // Faults returns the number of faults found so far.
 func (d *Document) Faults() int { return len(d.faults) }
 
--- a/core/version/document/object.go
+++ b/core/version/document/object.go
@@ -171,6 +171,15 @@
 	return o.doc.object(value, o.path+"/"+key)
 }
 
+// Address returns the IP number and port under a key that must stand.
+func (o *Object) Address(key string) string {
+	text := o.String(key)
+	if text != "" {
+		o.doc.CheckAddress(o.path+"/"+key, text)
+	}
+	return text
+}
+
 // Milliseconds returns a required duration written as a whole number of
 // milliseconds within [low, high].
 func (o *Object) Milliseconds(key string, low, high int) time.Duration {
--- a/mulberrydale/main.go
+++ b/mulberrydale/main.go
@@ -40,9 +40,9 @@
 	case route.FullCommand():
 		err = host.Run(*routeSettings, routes.Wire{})
 	case checkRoutes.FullCommand():
-		err = checkRoutesDocument(*checkRoutesFile)
+		err = host.CheckRoutes(os.Stdout, *checkRoutesFile, routes.Wire{})
 	case checkRouteSettings.FullCommand():
-		_, err = routes.ReadSettings(*checkRouteSettingsFile)
+		err = host.CheckSettings(*checkRouteSettingsFile, routes.Wire{})
 	case check.FullCommand():
 		err = checkConfiguration(*checkFile)
 	case checkSettings.FullCommand():
@@ -56,20 +56,6 @@
 	}
 }
 
-// checkRoutesDocument prints a summary of a document of routes without faults.
-func checkRoutesDocument(path string) error {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return result.Wrap(err, result.DocumentMissing, "routes")
-	}
-	t, err := routes.Decode(text)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("%d %s: version %d with %d routes\n", result.DocumentValid, result.DocumentValid, t.Version(), len(t.Routes()))
-	return nil
-}
-
 // checkConfiguration prints a summary of a file without faults.
 func checkConfiguration(path string) error {
 	text, err := os.ReadFile(path)
--- a/mulberrydale/routes/settings.go
+++ b/mulberrydale/routes/settings.go
@@ -1,8 +1,6 @@
 package routes
 
 import (
-	"net/netip"
-	"os"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/process/host"
@@ -24,15 +22,6 @@
 	maxRequestsInWindow = 1e6
 )
 
-// ReadSettings reads and checks a settings file.
-func ReadSettings(path string) (host.Settings, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return host.Settings{}, result.Wrap(err, result.DocumentMissing, "settings")
-	}
-	return DecodeSettings(text)
-}
-
 // DecodeSettings decodes and checks the text of a settings file. An error lists
 // every fault with its code, place and remedy.
 func DecodeSettings(text []byte) (host.Settings, error) {
@@ -41,19 +30,19 @@
 		return host.Settings{}, err
 	}
 	o := doc.Root()
-	s := host.NewSettings(o.String("vm"), o.String("data-centre"), addressOr(doc, o, "metrics-address", defaultMetrics)).
+	s := host.NewSettings(o.String("vm"), o.String("data-centre"), metricsAddress(o)).
 		WithGracePeriod(time.Duration(o.IntOr("grace-ms", 0, maxMillis, defaultGraceMillis))*time.Millisecond).
 		WithSeeds(seeds(doc, o), o.BoolOr("first-start", false)).
-		WithTargets(addressOr(doc, o, "targets-address", ""), limits(o))
+		WithTargets(o.Address("targets-address"), limits(o))
 	if o.Has("callers-address") {
-		s = s.WithCallers(addressOr(doc, o, "callers-address", ""), addressOr(doc, o, "readiness-address", ""))
+		s = s.WithCallers(o.Address("callers-address"), o.Address("readiness-address"))
 	}
 	if o.Has("operators-address") {
 		losses := o.IntOr("losses", 0, maxLosses, defaultLosses)
-		s = s.WithControl(addressOr(doc, o, "operators-address", ""), addressOr(doc, o, "sessions-address", ""),
+		s = s.WithControl(o.Address("operators-address"), o.Address("sessions-address"),
 			o.String("data-folder"), 2*losses+1)
 		if o.Has("sessions-reached-at") {
-			s = s.ReachedAt(addressOr(doc, o, "sessions-reached-at", ""))
+			s = s.ReachedAt(o.Address("sessions-reached-at"))
 		}
 	}
 	if s.Callers() == "" && s.Operators() == "" {
@@ -63,28 +52,17 @@
 	return s, doc.Err()
 }
 
-// addressOr reads an IP number and port. Without a default the key must stand.
-func addressOr(doc *document.Document, o *document.Object, key, otherwise string) string {
-	text := otherwise
-	if otherwise == "" || o.Has(key) {
-		text = o.String(key)
-	}
-	if text != "" {
-		checkAddress(doc, o.Path()+"/"+key, text)
-	}
-	return text
-}
-
-func checkAddress(doc *document.Document, path, text string) {
-	if _, err := netip.ParseAddrPort(text); err != nil {
-		doc.Add(result.BadAddress, path, "this is no address", `write an IP number and a port, such as "127.0.0.1:9000"`)
+func metricsAddress(o *document.Object) string {
+	if !o.Has("metrics-address") {
+		return defaultMetrics
 	}
+	return o.Address("metrics-address")
 }
 
 func seeds(doc *document.Document, o *document.Object) []string {
 	out := o.Strings("seeds")
 	for _, seed := range out {
-		checkAddress(doc, "/seeds", seed)
+		doc.CheckAddress("/seeds", seed)
 	}
 	return out
 }
--- a/mulberrydale/settings/settings.go
+++ b/mulberrydale/settings/settings.go
@@ -3,7 +3,6 @@
 package settings
 
 import (
-	"net/netip"
 	"os"
 	"slices"
 	"time"
@@ -97,23 +96,23 @@
 		vm:          o.String("vm"),
 		dataCentre:  o.String("data-centre"),
 		cluster:     o.String("cluster"),
-		callers:     address(doc, o, "callers-address"),
-		operators:   address(doc, o, "operators-address"),
-		peersAt:     address(doc, o, "peers-address"),
+		callers:     o.Address("callers-address"),
+		operators:   o.Address("operators-address"),
+		peersAt:     o.Address("peers-address"),
 		peers:       make(map[string]string),
 		controlVMs:  o.Strings("control-vms"),
 		dataFolder:  o.StringOr("data-folder", ""),
 		balancerLag: time.Duration(o.IntOr("balancer-lag-ms", 0, maxBalancerLag, defaultBalancerLag)) * time.Millisecond,
 	}
 	if o.Has("platform-address") {
-		s.platform = address(doc, o, "platform-address")
+		s.platform = o.Address("platform-address")
 	}
 	for _, p := range o.Objects("peers") {
 		name := p.String("vm")
 		if _, twice := s.peers[name]; twice {
 			doc.Add(result.DuplicateName, p.Path()+"/vm", "the VM stands twice", "keep one of the two")
 		}
-		s.peers[name] = address(doc, p, "address")
+		s.peers[name] = p.Address("address")
 		p.Done()
 	}
 	s.logLevel = level(doc, o)
@@ -139,17 +138,6 @@
 	}
 }
 
-func address(doc *document.Document, o *document.Object, key string) string {
-	text := o.String(key)
-	if text == "" {
-		return ""
-	}
-	if _, err := netip.ParseAddrPort(text); err != nil {
-		doc.Add(result.BadAddress, o.Path()+"/"+key, "this is no address", `write an IP number and a port, such as "127.0.0.1:9000"`)
-	}
-	return text
-}
-
 func level(doc *document.Document, o *document.Object) zapcore.Level {
 	out, err := zapcore.ParseLevel(o.StringOr("log-level", "info"))
 	if err != nil {
--- a/runner/soak/faults.go
+++ b/runner/soak/faults.go
@@ -65,7 +65,8 @@
 func (r *Run) draw(mayWipe bool) fault {
 	l := r.leafs[r.rng.IntN(len(r.leafs))]
 	c := r.controls[r.rng.IntN(len(r.controls))]
-	v := append(append([]*vm(nil), r.controls...), r.entries...)[r.rng.IntN(len(r.controls)+len(r.entries))]
+	vms := r.vms()
+	v := vms[r.rng.IntN(len(vms))]
 	switch r.rng.IntN(14) {
 	case 0, 1:
 		return r.down(v, "killed "+v.name, nil)
@@ -145,7 +146,7 @@
 
 // heal ends every fault that may still be there.
 func (r *Run) heal() {
-	for _, v := range append(append([]*vm(nil), r.controls...), r.entries...) {
+	for _, v := range r.vms() {
 		v.signal(syscall.SIGCONT)
 		if v.link != nil {
 			v.link.Set(proxy.None)
--- a/runner/soak/soak.go
+++ b/runner/soak/soak.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -162,9 +163,12 @@
 	return nil
 }
 
+// vms returns all processes of the run.
+func (r *Run) vms() []*vm { return slices.Concat(r.controls, r.entries) }
+
 // Close ends all that the run started.
 func (r *Run) Close() {
-	for _, v := range append(r.controls, r.entries...) {
+	for _, v := range r.vms() {
 		if v.command != nil {
 			v.kill()
 		}
