--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -142,6 +142,8 @@
 	// pending holds the proposals that are not committed yet, by log index.
 	pending map[uint64]proposal
 	reads   []readRequest
+	// answers holds the results of this step for sendAnswers.
+	answers []answer
 	// bytesSinceCompact is the size of the entries applied since the last
 	// compaction.
 	bytesSinceCompact int
--- a/core/process/control/faults.go
+++ b/core/process/control/faults.go
@@ -18,8 +18,8 @@
 // sends nothing until recoverJournal has written all of its persistent state to
 // disk: it must not acknowledge entries that it received but could not write. Its
 // output is discarded: the records are part of that state and replicas resend lost
-// messages. A snapshot in the output is discarded as well, without being applied to
-// c.state. All waiting proposals and reads fail.
+// messages. A snapshot in the output is part of that state too, from which
+// recoverJournal installs it. All waiting proposals and reads fail.
 func (c *Control) failJournal(err error, now time.Time) {
 	c.journalRetryAt = now.Add(journalRetryInterval)
 	if c.journalFailedAt.IsZero() {
@@ -30,25 +30,58 @@
 	c.node.TakeOutput()
 	c.failWaiting(result.New(result.JournalUnusable, "the journal of this VM is not writable"))
 	c.publishStatus(now)
+	c.sendAnswers()
 }
 
 // recoverJournal discards the output of the replica, as failJournal does, and
 // rewrites the journal from the replica's state in memory, at most once every
-// journalRetryInterval. It reports whether that succeeded, so that the replica may
-// participate again.
-func (c *Control) recoverJournal(now time.Time) bool {
+// journalRetryInterval. It then installs a snapshot that the replica received
+// meanwhile. It reports whether the replica may participate again. The error is
+// that of installSnapshot.
+func (c *Control) recoverJournal(now time.Time) (bool, error) {
 	c.node.TakeOutput()
 	if now.Before(c.journalRetryAt) {
-		return false
+		return false, nil
 	}
 	if err := c.rewriteJournal(); err != nil {
 		c.journalRetryAt = now.Add(journalRetryInterval)
-		return false
+		return false, nil
+	}
+	if s := c.node.PersistentState().Snapshot(); s.Index() > c.applied {
+		if err := c.installSnapshot(s); err != nil {
+			return false, err
+		}
 	}
 	c.log.Info("journal is writable again", zap.Duration("after", now.Sub(c.journalFailedAt)))
 	c.journalFailedAt = time.Time{}
 	c.node.MarkSynced(now)
-	return true
+	return true, nil
+}
+
+// answer is the result of a waiting proposal or read that has not been sent to
+// its caller yet: a proposalAnswer or a readAnswer.
+type answer interface{ send() }
+
+type proposalAnswer struct {
+	reply  chan<- proposalResult
+	result proposalResult
+}
+
+type readAnswer struct {
+	reply  chan<- readResult
+	result readResult
+}
+
+func (a proposalAnswer) send() { a.reply <- a.result }
+func (a readAnswer) send()     { a.reply <- a.result }
+
+// sendAnswers sends the results of this step. It is called after publishStatus, so
+// that a caller which has its result never reads the status of before it.
+func (c *Control) sendAnswers() {
+	for _, a := range c.answers {
+		a.send()
+	}
+	c.answers = c.answers[:0]
 }
 
 // failWaiting answers all waiting proposals and reads with an error. The proposals
@@ -56,10 +89,10 @@
 func (c *Control) failWaiting(err error) {
 	for index, p := range c.pending {
 		delete(c.pending, index)
-		p.reply <- proposalResult{err: err}
+		c.answers = append(c.answers, proposalAnswer{reply: p.reply, result: proposalResult{err: err}})
 	}
 	for _, r := range c.reads {
-		r.reply <- readResult{err: err}
+		c.answers = append(c.answers, readAnswer{reply: r.reply, result: readResult{err: err}})
 	}
 	c.reads = nil
 }
@@ -98,7 +131,7 @@
 		c.stateMu.Lock()
 		routes := c.state.Routes()
 		c.stateMu.Unlock()
-		r.reply <- readResult{routes: routes}
+		c.answers = append(c.answers, readAnswer{reply: r.reply, result: readResult{routes: routes}})
 	}
 	c.reads = remaining
 }
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -96,11 +96,14 @@
 // step runs the timers of the replica, writes the records and sends the messages of
 // its output, and applies committed entries. The order is required for safety:
 // records are written and synced before messages that depend on them are sent, and
-// only then are committed entries applied.
+// only then are committed entries applied. Callers get their results last, once the
+// status shows them.
 func (c *Control) step(clock monotonicClock) error {
 	now := clock.now()
-	if !c.journalFailedAt.IsZero() && !c.recoverJournal(now) {
-		return nil
+	if !c.journalFailedAt.IsZero() {
+		if ok, err := c.recoverJournal(now); !ok {
+			return err
+		}
 	}
 	c.bootstrapOrJoin(now)
 	c.node.Tick(now)
@@ -132,6 +135,7 @@
 	c.applyCommitted()
 	c.finishReads(clock.now())
 	c.publishStatus(clock.now())
+	c.sendAnswers()
 	return c.compact()
 }
 
@@ -176,7 +180,7 @@
 		if p.term != e.Term() {
 			res = proposalResult{err: result.New(result.NoQuorum, "another leader was elected before the change was committed")}
 		}
-		p.reply <- res
+		c.answers = append(c.answers, proposalAnswer{reply: p.reply, result: res})
 	}
 }
 
