--- a/core/process/journal/journal.go
+++ b/core/process/journal/journal.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"math"
 	"os"
 	"path/filepath"
 
@@ -23,9 +24,9 @@
 	// headerBytes is the size of the header of a record: its length in 4 bytes
 	// and its checksum in 8, both big-endian.
 	headerBytes = 12
-	// maxRecordBytes is the longest record that Open reads, 128 MiB. A header with
-	// a greater length is damaged.
-	maxRecordBytes = 128 << 20
+	// maxRecordBytes is the longest record, the greatest length that a header can
+	// hold.
+	maxRecordBytes = math.MaxUint32
 )
 
 // Journal is an open journal file. It is not safe for concurrent use.
@@ -33,6 +34,8 @@
 	folder string
 	file   *os.File
 	size   int64
+	// syncFolder syncs the entries of the data folder.
+	syncFolder func(folder string) error
 }
 
 // Open opens the journal in a folder and returns its records. The folder and the
@@ -58,7 +61,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	j := &Journal{folder: folder, file: file, size: validLength}
+	j := &Journal{folder: folder, file: file, size: validLength, syncFolder: syncFolder}
 	if err := j.truncateTail(int64(len(data))); err != nil {
 		return nil, nil, err
 	}
@@ -97,7 +100,7 @@
 	length := int(binary.BigEndian.Uint32(data[offset:]))
 	sum := binary.BigEndian.Uint64(data[offset+4:])
 	start := offset + headerBytes
-	if length == 0 || length > maxRecordBytes || len(data)-start < length {
+	if length == 0 || len(data)-start < length {
 		return nil, 0, false
 	}
 	record = data[start : start+length]
@@ -133,10 +136,11 @@
 }
 
 // Append writes records with one write and one sync. Each must have between 1 and
-// maxRecordBytes bytes, which Append does not check: Open treats a record of any
-// other length as damaged. The error is JournalUnusable if the write or the sync
-// fails. It is then not known which of the records are on disk, and nothing more
-// may be appended before Replace has succeeded.
+// maxRecordBytes bytes; the error is RecordTooLarge, and nothing is written, if one
+// has another length, which Open would take for damage. The error is
+// JournalUnusable if the write or the sync fails. It is then not known which of the
+// records are on disk, and nothing more may be appended before Replace has
+// succeeded.
 func (j *Journal) Append(records [][]byte) error {
 	written, err := writeRecords(j.file, records)
 	j.size += written
@@ -148,6 +152,9 @@
 func writeRecords(file *os.File, records [][]byte) (int64, error) {
 	var buffer []byte
 	for _, r := range records {
+		if len(r) == 0 || len(r) > maxRecordBytes {
+			return 0, result.New(result.RecordTooLarge, "a journal record has %d bytes, expected 1 to %d", len(r), maxRecordBytes)
+		}
 		var header [headerBytes]byte
 		binary.BigEndian.PutUint32(header[:], uint32(len(r)))
 		binary.BigEndian.PutUint64(header[4:], xxhash.Sum64(r))
@@ -166,8 +173,10 @@
 // Replace atomically replaces the journal with a new one of the given records: after
 // a crash, the folder has either the complete old journal or the complete new one.
 // The error is JournalUnusable if the new file can't be created, written, synced or
-// renamed, and FolderUnusable if the folder can't be synced. An error from closing
-// the old file is returned without a result code; the new journal is then in use.
+// renamed, and FolderUnusable if the folder can't be synced. In the latter case the
+// new journal is in use, because the old one no longer has a name, but a loss of
+// power may still bring the old one back. Nothing more may be appended before another
+// call of Replace has succeeded.
 func (j *Journal) Replace(records [][]byte) error {
 	path := filepath.Join(j.folder, tempName)
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
@@ -186,13 +195,11 @@
 		_ = os.Remove(path)
 		return err
 	}
-	if err := syncFolder(j.folder); err != nil {
-		return err
-	}
-	old := j.file
+	// Nothing is written to the old file any more, so an error of Close loses nothing.
+	_ = j.file.Close()
 	j.file = file
 	j.size = size
-	return old.Close()
+	return j.syncFolder(j.folder)
 }
 
 // Close closes the journal file.
--- a/core/process/journal/journal_test.go
+++ b/core/process/journal/journal_test.go
@@ -136,3 +136,29 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, records, [][]byte{[]byte("three")})
 }
+
+// A snapshot of many claims may be long. Whatever Append accepts, Open must read.
+func TestLongRecordIsReadBack(t *testing.T) {
+	folder := t.TempDir()
+	j, _, err := journal.Open(folder)
+	assert.NilError(t, err)
+	long := make([]byte, 129<<20)
+	assert.NilError(t, j.Append([][]byte{long}))
+	assert.NilError(t, j.Close())
+	j, records, err := journal.Open(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(records), 1)
+	assert.Equal(t, len(records[0]), len(long))
+	assert.NilError(t, j.Close())
+}
+
+// An empty record would be taken for damage when the journal is opened.
+func TestAppendRefusesEmptyRecord(t *testing.T) {
+	folder, _ := writeJournal(t, "first")
+	j := expectRecords(t, folder, "first")
+	err := j.Append([][]byte{[]byte("second"), nil})
+	assert.Equal(t, result.CodeOf(err), result.RecordTooLarge, "%v", err)
+	assert.NilError(t, j.Append([][]byte{[]byte("third")}))
+	assert.NilError(t, j.Close())
+	assert.NilError(t, expectRecords(t, folder, "first", "third").Close())
+}
--- a/core/result/code.go
+++ b/core/result/code.go
@@ -94,6 +94,7 @@
 
 	JournalDamaged  Code = 800
 	JournalUnusable Code = 801
+	RecordTooLarge  Code = 802
 
 	Internal Code = 900
 )
--- a/core/result/code_test.go
+++ b/core/result/code_test.go
@@ -59,3 +59,11 @@
 	// 205 no-target: no target of service tilaajat-03 may be used now
 	// 2
 }
+
+func TestWrapKeepsItsCause(t *testing.T) {
+	cause := &os.PathError{Op: "open", Path: "journal", Err: os.ErrNotExist}
+	err := result.Wrap(result.Wrap(cause, result.JournalUnusable, "reading"), result.FolderUnusable, "opening")
+	assert.ErrorIs(t, err, os.ErrNotExist)
+	assert.Equal(t, result.CodeOf(err), result.FolderUnusable)
+	assert.Equal(t, err.Error(), "501 folder-unusable: opening: 801 journal-unusable: reading: open journal: file does not exist")
+}
--- a/core/result/error.go
+++ b/core/result/error.go
@@ -11,6 +11,8 @@
 type Error struct {
 	code    Code
 	message string
+	// cause is nil for an error that New returned.
+	cause error
 }
 
 // New returns an error with a result code and a message formatted as by
@@ -20,13 +22,14 @@
 }
 
 // Wrap returns an error with a result code and a formatted message, to which
-// the text of err is appended. err is recorded as a secondary error, which
-// errors.Is and errors.As do not find.
+// the text of err is appended. errors.Is and errors.As find err too.
 func Wrap(err error, code Code, format string, args ...any) error {
-	return errors.WithSecondaryError(
-		&Error{code: code, message: fmt.Sprintf(format, args...) + ": " + err.Error()}, err)
+	return &Error{code: code, message: fmt.Sprintf(format, args...) + ": " + err.Error(), cause: err}
 }
 
+// Unwrap returns the error that Wrap was called with, nil if there is none.
+func (e *Error) Unwrap() error { return e.cause }
+
 // Code returns the result code.
 func (e *Error) Code() Code { return e.code }
 
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -62,6 +62,7 @@
 
 	{JournalDamaged, "journal-damaged", "a record in the middle of the journal has a wrong checksum"},
 	{JournalUnusable, "journal-unusable", "the journal could not be written or synced"},
+	{RecordTooLarge, "record-too-large", "a record is empty or too long for the journal; nothing was written"},
 
 	{Internal, "internal", "an internal error of the program; please report it"},
 }
