--- a/core/request/claim/claim.go
+++ b/core/request/claim/claim.go
@@ -5,6 +5,7 @@
 package claim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -87,9 +88,7 @@
 // commands one at a time.
 type Table struct {
 	records map[string]Record
-	// order holds the ids, oldest first. An id that Settle released stays in it
-	// until removeExpired reaches it, and is in it twice if it is claimed again
-	// before that.
+	// order holds the ids, oldest first.
 	order []string
 }
 
@@ -120,9 +119,9 @@
 }
 
 // Claim claims an id for a holder and keeps the record at least for the
-// retention time, unless Settle releases the id before. It returns Granted if the id is new, Settled if its outcome is
-// known, InDoubt if another holder has an open claim on it, and Full if the
-// table is full. Until the claim is settled, Claim is idempotent for the same
+// retention time, unless Settle releases the id before. It returns Granted if the
+// id is new, Settled if its outcome is known, InDoubt if another holder has an open
+// claim on it, and Full if the table is full. Until the claim is settled, Claim is idempotent for the same
 // holder, which may repeat it after a lost response. The time now is taken from
 // the replicated log, so that every replica removes the same expired ids.
 func (t *Table) Claim(id, holder string, retention time.Duration, now time.Time) Outcome {
@@ -153,7 +152,7 @@
 		return
 	}
 	if code.Execution() == result.NotRun {
-		delete(t.records, id)
+		t.release(id)
 		return
 	}
 	r.settled = code.Execution() == result.Run
@@ -162,13 +161,24 @@
 	t.records[id] = r
 }
 
+// release removes an id. It is searched from the newest on, because a request that
+// was not run is settled soon after its claim.
+func (t *Table) release(id string) {
+	delete(t.records, id)
+	for n := len(t.order) - 1; n >= 0; n-- {
+		if t.order[n] == id {
+			t.order = slices.Delete(t.order, n, n+1)
+			return
+		}
+	}
+}
+
 // removeExpired removes the expired records at the front of the order, up to
 // the first one that has not expired.
 func (t *Table) removeExpired(now time.Time) {
 	n := 0
 	for _, id := range t.order {
-		r, ok := t.records[id]
-		if ok && r.expires.After(now) {
+		if t.records[id].expires.After(now) {
 			break
 		}
 		delete(t.records, id)
--- a/core/request/claim/claim_test.go
+++ b/core/request/claim/claim_test.go
@@ -72,3 +72,16 @@
 	// claim.InDoubt
 	// claim.Settled
 }
+
+// A request that was not run releases its id. When it is claimed again, it must be
+// stored once, with the expiry of the second claim.
+func TestReleasedIDIsStoredOnce(t *testing.T) {
+	table := claim.NewTable()
+	now := time.Unix(1000, 0)
+	table.Claim("id-0", "vm-1", time.Hour, now)
+	table.Claim("id-1", "vm-1", time.Minute, now)
+	table.Settle("id-1", "vm-1", result.Overloaded, nil)
+	table.Claim("id-1", "vm-2", time.Hour, now.Add(time.Second))
+	assert.Equal(t, len(table.Records()), 2)
+	assert.Equal(t, table.Records()[1].Holder(), "vm-2")
+}
--- a/core/version/snapshot/snapshot.go
+++ b/core/version/snapshot/snapshot.go
@@ -11,8 +11,7 @@
 }
 
 // NewServiceSnapshots returns the snapshots of a service, with one list of
-// snapshot names for each usable leaf. A list must not repeat a name, or Choose
-// counts the service more than once for that snapshot.
+// snapshot names for each usable leaf. A name that a list repeats counts once.
 func NewServiceSnapshots(leafs [][]string) ServiceSnapshots {
 	return ServiceSnapshots{leafs: leafs}
 }
@@ -74,8 +73,8 @@
 // its leafs holds.
 func (s ServiceSnapshots) addCoverage(coverageByName map[string]coverage) {
 	for i, leaf := range s.leafs {
-		for _, name := range leaf {
-			if s.heldByEarlierLeaf(i, name) {
+		for n, name := range leaf {
+			if s.heldByEarlierLeaf(i, name) || slices.Contains(leaf[:n], name) {
 				continue
 			}
 			c := coverageByName[name]
--- a/core/version/snapshot/snapshot_test.go
+++ b/core/version/snapshot/snapshot_test.go
@@ -58,3 +58,12 @@
 	fmt.Println(name, serviceCount)
 	// Output: s1 2
 }
+
+// A leaf that lists a snapshot twice must not count as two services.
+func TestRepeatedNameCountsOnce(t *testing.T) {
+	repeating := snapshot.NewServiceSnapshots([][]string{{"s1", "s2", "s2"}})
+	other := snapshot.NewServiceSnapshots([][]string{{"s1"}})
+	name, services := snapshot.Choose([]snapshot.ServiceSnapshots{repeating, other})
+	assert.Equal(t, name, "s1")
+	assert.Equal(t, services, 2)
+}
--- a/declaration/declaration.go
+++ b/declaration/declaration.go
@@ -94,16 +94,21 @@
 	return configuration.New(d.operator, d.maxEntryVMs, d.dataCentres, services, d.queries, d.requests)
 }
 
-// Print checks the declaration with configuration.Configuration.Check and writes
-// its document to w. If the check finds problems, Print writes nothing and
-// returns an error that lists all of them. The check does not include the upper
-// bounds and the ranges of durations that configuration.Decode enforces.
+// Print writes the document of the declaration to w. If the declaration has
+// problems, Print writes nothing and returns an error that lists all of them:
+// those of configuration.Configuration.Check, or else those that
+// configuration.Decode finds in the document, such as a number over its upper
+// bound.
 func (d *Declaration) Print(w io.Writer) error {
 	cfg := d.Configuration()
 	if problems := cfg.Check(); len(problems) > 0 {
 		return joinProblems(problems)
 	}
-	_, err := w.Write(configuration.Encode(cfg, d.notes))
+	text := configuration.Encode(cfg, d.notes)
+	if _, err := configuration.Decode(text); err != nil {
+		return err
+	}
+	_, err := w.Write(text)
 	return err
 }
 
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -80,3 +80,25 @@
 	//   ],
 	// }
 }
+
+// Whatever Print writes, mulberryctl apply must accept.
+func TestPrintRejectsWhatDecodeRejects(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit declaration.Limits
+	}{
+		{"too many slots", declaration.NewLimits(100_001, 25, 0, 30)},
+		{"a negative connection cost", declaration.NewLimits(2, 25, -time.Second, 30)},
+		{"a warm-up of two hours", declaration.NewLimits(2, 25, 0, 30).WithWarmUp(2 * time.Hour)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := declare()
+			d.Service("second", tt.limit).Leaf("second-01", "oulu-1", "127.0.0.1:21002")
+			var out bytes.Buffer
+			err := d.Print(&out)
+			assert.Equal(t, result.CodeOf(err), result.LimitOutOfRange, "%v", err)
+			assert.Equal(t, out.Len(), 0)
+		})
+	}
+}
--- a/mulberrydale/routes/document_test.go
+++ b/mulberrydale/routes/document_test.go
@@ -114,14 +114,14 @@
 
 func TestDecodeTargetsSkipsInvalidEntries(t *testing.T) {
 	good := `{"id": "i-1", "service": "s-1", "address": "127.0.0.1:80", "data-centre": "oulu-1", "slots": 2, "cold-ms": 1500}`
-	for _, bad := range []string{`{}`, `3`, strings.Replace(good, "127.0.0.1:80", "leaf-1:80", 1), strings.Replace(good, `"slots": 2`, `"slots": "two"`, 1)} {
+	for _, bad := range []string{`{}`, `3`, strings.Replace(good, "127.0.0.1:80", "leaf-1:80", 1), strings.Replace(good, `"slots": 2`, `"slots": "two"`, 1), strings.Replace(good, `"id": "i-1"`, `"id": "i-1", "id": "i-2"`, 1)} {
 		targets, invalid, err := decodeTargets([]byte(`{"targets": [` + good + `,` + bad + `]}`))
 		assert.NilError(t, err)
 		assert.Equal(t, invalid, 1, bad)
 		assert.Equal(t, len(targets), 1, bad)
 		assert.Equal(t, targets[0].ColdFor(), 1500*time.Millisecond)
 	}
-	for _, text := range []string{``, `{`, `{"targets": 3}`, `{"targets": [` + good} {
+	for _, text := range []string{``, `{`, `{"targets": 3}`, `{"targets": [], "targets": []}`, `{"targets": [` + good} {
 		_, _, err := decodeTargets([]byte(text))
 		assert.Assert(t, err != nil, text)
 	}
--- a/mulberrydale/routes/list.go
+++ b/mulberrydale/routes/list.go
@@ -45,16 +45,17 @@
 	return targets, err
 }
 
-// decodeTargets decodes the target list. It skips invalid entries and returns their
-// number; a duplicate key does not make an entry invalid. It returns an error if the
-// text is not a JSON object or its key targets holds no list.
+// decodeTargets decodes the target list. It skips invalid entries, such as those with
+// a duplicate key, and returns their number. It returns an error if the text is not a
+// JSON object, the object has a duplicate key, or its key targets holds no list.
 func decodeTargets(text []byte) (instances []discovery.Instance, invalid int, err error) {
 	doc, err := document.Parse(text)
 	if err != nil {
 		return nil, 0, err
 	}
-	entries := doc.Root().Objects("targets")
-	if len(entries) == 0 && doc.FaultCount() > 0 {
+	root := doc.Root()
+	entries := root.Objects("targets")
+	if root.HasDuplicateKey() || len(entries) == 0 && doc.FaultCount() > 0 {
 		return nil, 0, doc.Err()
 	}
 	for _, o := range entries {
@@ -62,7 +63,7 @@
 		i := discovery.NewInstance(o.String("id"), o.String("service"), o.String("address"), o.String("data-centre"), o.IntOr("slots", 0, maxSlots, 0)).
 			WithLeaving(o.BoolOr("leaving", false)).
 			WithColdFor(time.Duration(o.IntOr("cold-ms", 0, maxMillis, 0)) * time.Millisecond)
-		if doc.FaultCount() > faultsBefore || i.ID() == "" || !discovery.ValidAddress(i.Address()) {
+		if o.HasDuplicateKey() || doc.FaultCount() > faultsBefore || i.ID() == "" || !discovery.ValidAddress(i.Address()) {
 			invalid++
 			continue
 		}
