connections and shutdown: nothing stays open or is cut at the end

Cause: a dial that timed out lasted as long as the longest delay and reset the backoff; a connection accepted while the listener closed the others stayed open; a control-only VM exited with operators' calls half read; a response over the client's limit was cut and told as a syntax error.

--- a/core/connection/operator/client.go
+++ b/core/connection/operator/client.go
@@ -11,10 +11,16 @@
 	"github.com/mulberrydale/mulberrydale/core/process/audit"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/configuration"
+	"github.com/mulberrydale/mulberrydale/core/version/document"
 )
 
-// clientTimeout limits one request to a VM.
-const clientTimeout = 10 * time.Second
+const (
+	// clientTimeout limits one request to a VM.
+	clientTimeout = 10 * time.Second
+	// maxResponseBytes limits a response. None of those that can be decoded is
+	// longer.
+	maxResponseBytes = 2 * document.MaxBytes
+)
 
 // Client sends requests to the operators' interface of a VM.
 type Client struct {
@@ -106,10 +112,13 @@
 		return nil, nil, result.Wrap(err, result.Unreachable, "request to %s", c.address)
 	}
 	defer res.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(res.Body, MaxChangeBytes))
+	text, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, nil, result.Wrap(err, result.Unreachable, "reading the response of %s", c.address)
 	}
+	if len(text) > maxResponseBytes {
+		return nil, nil, result.New(result.DocumentTooLarge, "the response of %s has more than %d bytes", c.address, maxResponseBytes)
+	}
 	if res.StatusCode == http.StatusOK || req.Method == http.MethodPost {
 		return text, res.Header, nil
 	}
--- a/core/connection/operator/wire.go
+++ b/core/connection/operator/wire.go
@@ -24,8 +24,7 @@
 	HeaderVersion = "Configuration-Version"
 )
 
-// MaxChangeBytes limits the body of a change. The client reads no more than
-// this of any response and ignores the rest.
+// MaxChangeBytes limits the body of a change.
 const MaxChangeBytes = 2 * document.MaxBytes
 
 // maxExactInt is the upper limit of integers without a narrower range. Up to it,
--- a/core/connection/peer/link.go
+++ b/core/connection/peer/link.go
@@ -59,37 +59,49 @@
 }
 
 // run dials and sends messages until ctx ends. It dials again after each
-// failure, with exponential backoff between minRedialDelay and maxRedialDelay.
-// The backoff is reset after an attempt that lasted longer than maxRedialDelay,
-// the time of the connection included. A dial that times out can reset it too,
-// because dialTimeout is equal to maxRedialDelay.
+// failure, with the delay that redialDelay returns.
 func (l *link) run(ctx context.Context) {
-	delay := minRedialDelay
+	var delay time.Duration
 	for ctx.Err() == nil {
-		start := time.Now()
-		l.connect(ctx)
-		if time.Since(start) > maxRedialDelay {
-			delay = minRedialDelay
-		}
+		delay = redialDelay(delay, l.connect(ctx))
 		select {
 		case <-time.After(delay):
 		case <-ctx.Done():
 		}
-		delay = min(2*delay, maxRedialDelay)
 	}
 }
 
-// connect dials once and sends messages until the connection fails or ctx ends.
-func (l *link) connect(ctx context.Context) {
+// redialDelay returns how long to wait before the next dial: an exponential backoff
+// from minRedialDelay to maxRedialDelay that starts again after a connection that
+// was open for longer than maxRedialDelay. last is the previous delay, 0 for none,
+// and connectedFor is 0 if the last dial failed, however long it took.
+func redialDelay(last, connectedFor time.Duration) time.Duration {
+	if last == 0 || connectedFor > maxRedialDelay {
+		return minRedialDelay
+	}
+	return min(2*last, maxRedialDelay)
+}
+
+// connect dials once and sends messages until the connection fails or ctx ends. It
+// returns how long the connection was open, 0 if the dial failed.
+func (l *link) connect(ctx context.Context) time.Duration {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
-		return
+		return 0
 	}
+	opened := time.Now()
 	l.mu.Lock()
 	l.conn = conn
-	l.dialedAt = time.Now()
+	l.dialedAt = opened
 	l.mu.Unlock()
+	l.sendMessages(ctx, conn)
+	return time.Since(opened)
+}
+
+// sendMessages sends messages until the connection fails or ctx ends, and closes
+// the connection.
+func (l *link) sendMessages(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
--- a/core/connection/peer/mesh.go
+++ b/core/connection/peer/mesh.go
@@ -37,6 +37,8 @@
 
 	mu           sync.Mutex
 	inboundConns map[net.Conn]struct{}
+	// stopped is true once Run ends; connections accepted later are closed.
+	stopped bool
 }
 
 // NewMesh returns a mesh. The keys of addresses are VM names; the entry of this
@@ -103,23 +105,36 @@
 	defer stop()
 	for {
 		conn, err := socket.Accept()
-		if ctx.Err() != nil {
+		if err != nil && ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			time.Sleep(minRedialDelay)
 			continue
 		}
-		m.mu.Lock()
-		m.inboundConns[conn] = struct{}{}
-		m.mu.Unlock()
-		go (&inbound{mesh: m, conn: conn}).run()
+		if m.addInbound(conn) {
+			go (&inbound{mesh: m, conn: conn}).run()
+		}
+	}
+}
+
+// addInbound adds a connection to those that closeInbound closes. If that was
+// called already, addInbound closes the connection and returns false.
+func (m *Mesh) addInbound(conn net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		_ = conn.Close()
+		return false
 	}
+	m.inboundConns[conn] = struct{}{}
+	return true
 }
 
 func (m *Mesh) closeInbound() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.stopped = true
 	for conn := range m.inboundConns {
 		_ = conn.Close()
 	}
--- a/core/connection/session/session.go
+++ b/core/connection/session/session.go
@@ -198,6 +198,8 @@
 
 	mu       sync.Mutex
 	sessions map[*Session]struct{}
+	// stopped is true once Run ends; connections accepted later are closed.
+	stopped bool
 }
 
 // NewListener returns a listener on a socket. It accepts nothing before Run.
@@ -223,11 +225,25 @@
 	_ = l.socket.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.stopped = true
 	for s := range l.sessions {
 		s.Close()
 	}
 }
 
+// add adds a session to those that close ends. If that was called already, add
+// closes the session and returns false.
+func (l *Listener) add(s *Session) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped {
+		s.Close()
+		return false
+	}
+	l.sessions[s] = struct{}{}
+	return true
+}
+
 // inboundSession is a session that a peer dialled.
 type inboundSession struct {
 	listener *Listener
@@ -236,9 +252,9 @@
 
 func (i *inboundSession) run() {
 	l := i.listener
-	l.mu.Lock()
-	l.sessions[i.session] = struct{}{}
-	l.mu.Unlock()
+	if !l.add(i.session) {
+		return
+	}
 	i.session.serve(l.handler)
 	l.mu.Lock()
 	delete(l.sessions, i.session)
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -241,20 +241,14 @@
 // because the load balancer may still send some. This lasts for balancerLag, but
 // at most for two thirds of the grace period. It then accepts no new requests and
 // waits for those in flight, at the latest until exitMargin before the end of the
-// grace period. A VM without the entry role stops at once.
+// grace period. A VM without the entry role, which the balancer does not know, only
+// waits for the requests of operators in flight.
 func (p *process) shutdown(ctx context.Context) {
 	p.log.Info("leaving")
 	began := time.Now()
-	if p.entry == nil {
-		p.log.Info("stopped")
-		return
-	}
-	p.entry.StartDraining()
 	grace := p.settings.gracePeriod
-	drainState := drain.New(min(balancerLag, grace*2/3)).Start(began)
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for now := began; drainState.Phase(p.entry.Running(), now) < drain.Finishing; now = <-ticker.C {
+	if p.entry != nil {
+		p.drainEntry(min(balancerLag, grace*2/3), began)
 	}
 	// The servers are shut down one after the other, in the order in which they
 	// were started. A server that is shut down accepts no new request, not even
@@ -270,6 +264,17 @@
 	p.log.Info("stopped", zap.Duration("after", time.Since(began)))
 }
 
+// drainEntry makes the readiness check fail and waits until the balancer has noticed
+// and no request is running.
+func (p *process) drainEntry(lag time.Duration, began time.Time) {
+	p.entry.StartDraining()
+	drainState := drain.New(lag).Start(began)
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for now := began; drainState.Phase(p.entry.Running(), now) < drain.Finishing; now = <-ticker.C {
+	}
+}
+
 // sinkLoop writes buffered log lines to standard output.
 type sinkLoop struct{ sink *logsink.Sink }
 
--- a/mulberrydale/routes/process_test.go
+++ b/mulberrydale/routes/process_test.go
@@ -111,6 +111,7 @@
 	callers   string
 	readiness string
 	metrics   string
+	control   *exec.Cmd
 	entry     *exec.Cmd
 }
 
@@ -132,9 +133,9 @@
 	addresses := freeAddresses(t, 6)
 	common := fmt.Sprintf(`"data-centre": "oulu-1", "seeds": [%q], "first-start": true, "targets-address": %q, "further-sends": {"slack": 10}, "grace-ms": 4000`,
 		addresses[0], strings.TrimPrefix(targets.URL, "http://"))
-	startProcess(t, fmt.Sprintf(`{"vm": "control-1", %s, "operators-address": %q, "sessions-address": %q, "data-folder": %q, "losses": 0, "metrics-address": %q}`,
+	control := startProcess(t, fmt.Sprintf(`{"vm": "control-1", %s, "operators-address": %q, "sessions-address": %q, "data-folder": %q, "losses": 0, "metrics-address": %q}`,
 		common, addresses[1], addresses[0], t.TempDir(), addresses[2]))
-	d := &deployment{operators: "http://" + addresses[1], callers: "http://" + addresses[3], readiness: "http://" + addresses[4], metrics: "http://" + addresses[5]}
+	d := &deployment{operators: "http://" + addresses[1], callers: "http://" + addresses[3], readiness: "http://" + addresses[4], metrics: "http://" + addresses[5], control: control}
 	d.entry = startProcess(t, fmt.Sprintf(`{"vm": "entry-1", %s, "callers-address": %q, "readiness-address": %q, "metrics-address": %q}`,
 		common, addresses[3], addresses[4], addresses[5]))
 	waitForStatus(t, 200, "PUT", d.operators+"/routes", "", validDocument)
@@ -247,3 +248,51 @@
 	assert.Equal(t, res.StatusCode, 200, text)
 	assert.NilError(t, entry.Wait())
 }
+
+// A VM without the entry role must answer the operators' calls that it has begun to
+// read before it exits.
+func TestControlVMAnswersOperatorsCallDuringShutdown(t *testing.T) {
+	d := newDeployment(t, func(w http.ResponseWriter, r *http.Request) { writeLeafResponse(w, r, "signature") })
+	document := strings.Replace(validDocument, `"version": 7`, `"version": 8`, 1)
+	body, sender := io.Pipe()
+	req, err := http.NewRequest(http.MethodPut, d.operators+"/routes", body)
+	assert.NilError(t, err)
+	call := &operatorCall{request: req, done: make(chan struct{})}
+	go call.run()
+	half := len(document) / 2
+	_, err = io.WriteString(sender, document[:half])
+	assert.NilError(t, err)
+	waitForStatus(t, 200, "GET", d.operators+"/routes", "", "")
+	assert.NilError(t, d.control.Process.Signal(syscall.SIGTERM))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if res, _ := send(t, "GET", d.operators+"/routes", "", ""); res.StatusCode != 0 {
+			return poll.Continue("the VM still accepts calls")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	_, _ = io.WriteString(sender, document[half:])
+	_ = sender.Close()
+	<-call.done
+	assert.NilError(t, call.err)
+	assert.Equal(t, call.status, http.StatusOK)
+	assert.NilError(t, d.control.Wait())
+}
+
+// operatorCall is a call of an operator that runs in the background.
+type operatorCall struct {
+	request *http.Request
+	done    chan struct{}
+	status  int
+	err     error
+}
+
+func (c *operatorCall) run() {
+	defer close(c.done)
+	res, err := http.DefaultTransport.RoundTrip(c.request)
+	if err != nil {
+		c.err = err
+		return
+	}
+	c.status = res.StatusCode
+	c.err = res.Body.Close()
+}
