Tests that recorded or asked the wrong object now check

Cause: the cluster tests recorded a version that went back and the number of changes without looking at them; the gateway test of a refused connection asked a new pool instead of the entry's.

--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -88,6 +88,18 @@
 	return o.routes.Version()
 }
 
+func (o *recordingObserver) wentBack() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versionDecreased
+}
+
+func (o *recordingObserver) changeCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.changes
+}
+
 func (o *recordingObserver) targets() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -153,6 +165,12 @@
 			p.stop()
 		}
 	})
+	// Runs before the processes stop: no process may go back to older routes.
+	t.Cleanup(func() {
+		for _, p := range in.processes {
+			assert.Assert(t, !p.observer.wentBack(), "%s went back to older routes", p.name)
+		}
+	})
 	return in
 }
 
@@ -250,8 +268,15 @@
 	in.waitForVersion(7)
 	// Publishing an older version, or the same one again, is acknowledged but
 	// changes nothing.
+	changes := make(map[string]int)
+	for name, p := range in.processes {
+		changes[name] = p.observer.changeCount()
+	}
 	in.publish("control-0", 5)
 	in.publish("control-1", 7)
+	for name, p := range in.processes {
+		assert.Equal(t, p.observer.changeCount(), changes[name], "%s was told of a change", name)
+	}
 	for name := range in.processes {
 		if routes, err := in.read(name); in.processes[name].folder != "" {
 			assert.NilError(t, err)
--- a/core/process/gateway/wire_test.go
+++ b/core/process/gateway/wire_test.go
@@ -17,7 +17,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/exchange"
-	"github.com/mulberrydale/mulberrydale/core/connection/upstream"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
@@ -394,5 +393,5 @@
 	s := newEntryServer(t, routeTable(routing.NonIdempotent), discovery.NewInstance("i-1", "s-1", address, "dc-1", 2))
 	res, _ := s.send(t, "POST", "/x/1", "body")
 	assert.Equal(t, res.StatusCode, 503)
-	assert.Equal(t, upstream.NewPool().OpenConnections(), int64(0))
+	assert.Equal(t, s.entry.pool.OpenConnections(), int64(0))
 }
