exchange: a response without end is cut off by size

Cause: a head, or informational responses, without end were read into memory until the deadline of the attempt; a body that must be whole was read up to 64 MB, a fifth of an entry VM's memory for each faulty part of one query.

Change: the head with all informational responses before it may have 256 KB, a body that must be whole 8 MB.

Ruled out: a budget of bytes for all attempts together; a part would have to give its bytes back when its answer is merged, which no owner tracks today.

--- a/core/connection/exchange/response.go
+++ b/core/connection/exchange/response.go
@@ -13,10 +13,14 @@
 )
 
 const (
+	// maxHeaderBytes is the maximum size of the header of a response, together
+	// with the informational responses before it.
+	maxHeaderBytes = 256 << 10
 	// maxFullBodyBytes is the maximum size of the body of a response that must
 	// not be streamed, because the attempt needs the whole response or the
-	// status is 500 or above.
-	maxFullBodyBytes = 64 << 20
+	// status is 500 or above. A query over many shards may hold several such
+	// bodies, of which a faulty target may send one without end.
+	maxFullBodyBytes = 8 << 20
 	// MaxBufferedBytes is the size of the beginning of a response body that is
 	// buffered before any of it is passed on. If a body of at most this size
 	// breaks off, the request can still be sent again. If a longer one breaks
@@ -51,6 +55,7 @@
 func (x *roundTrip) readResponse() relay.Outcome {
 	// http.ReadResponse needs the method to know whether a body follows.
 	req := &http.Request{Method: x.attempt.Request().Method()}
+	x.conn.LimitInput(maxHeaderBytes)
 	for {
 		res, err := http.ReadResponse(x.conn.Reader(), req)
 		if err != nil {
@@ -62,6 +67,7 @@
 			_ = res.Body.Close()
 			continue
 		}
+		x.conn.UnlimitInput()
 		if timeout, ok := keepAliveTimeout(res.Header); ok {
 			x.conn.SetTargetIdleTimeout(timeout)
 		}
--- a/core/connection/upstream/upstream.go
+++ b/core/connection/upstream/upstream.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -28,9 +30,34 @@
 	sweepInterval = time.Second
 )
 
+// errInputLimit is the error of reads beyond the limit that LimitInput set.
+var errInputLimit = errors.New("the target sent more bytes than the limit")
+
+// limitedInput reads from a connection up to a limit.
+type limitedInput struct {
+	conn net.Conn
+	// remaining is the number of bytes that may still be read, negative for no
+	// limit.
+	remaining int
+}
+
+// Read implements io.Reader.
+func (i *limitedInput) Read(p []byte) (int, error) {
+	if i.remaining < 0 {
+		return i.conn.Read(p)
+	}
+	if i.remaining == 0 {
+		return 0, errInputLimit
+	}
+	n, err := i.conn.Read(p[:min(len(p), i.remaining)])
+	i.remaining -= n
+	return n, err
+}
+
 // Conn is a connection to a target.
 type Conn struct {
 	net.Conn
+	input   *limitedInput
 	reader  *bufio.Reader
 	pool    *Pool
 	address string
@@ -46,6 +73,12 @@
 // Reader returns the buffered reader of the connection.
 func (c *Conn) Reader() *bufio.Reader { return c.reader }
 
+// LimitInput makes reads fail after n more bytes have been read from the network.
+func (c *Conn) LimitInput(n int) { c.input.remaining = n }
+
+// UnlimitInput removes the limit that LimitInput set.
+func (c *Conn) UnlimitInput() { c.input.remaining = -1 }
+
 // Requests returns the number of requests that the connection has completed.
 func (c *Conn) Requests() int { return c.requests }
 
@@ -180,7 +213,8 @@
 	p.mu.Lock()
 	delete(p.closedAddresses, address)
 	p.mu.Unlock()
-	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p, address: address, idleTimeout: defaultIdleTimeout}, nil
+	input := &limitedInput{conn: conn, remaining: -1}
+	return &Conn{Conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), pool: p, address: address, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // CloseAddresses closes the idle connections to addresses that are no longer
