control: routes of before a restart are not adopted until the replica has caught up

Change: routes and configurations are passed on once the commit index has covered everything committed before, which an entry of a leader's own term shows, or after 5 s without a leader, so that a data centre that is cut off goes on with what it has.

Ruled out: comparing the term of the last commit with the current one; after a restart both come from the disk and are equal (tried, version 4 instead of 99 again).

The gateway's test of extra responses has a true second copy now; it passes before and after.

--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -1,6 +1,7 @@
 package cluster_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -66,12 +67,17 @@
 	list             discovery.List
 	versionDecreased bool
 	changes          int
+	// lowest is the lowest version that was adopted, 0 for none.
+	lowest uint64
 }
 
 func (o *recordingObserver) RoutesChanged(routes replica.Routes, _ time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.versionDecreased = o.versionDecreased || routes.Version() < o.routes.Version()
+	if o.lowest == 0 || routes.Version() < o.lowest {
+		o.lowest = routes.Version()
+	}
 	o.routes = routes
 	o.changes++
 }
@@ -88,6 +94,12 @@
 	return o.routes.Version()
 }
 
+func (o *recordingObserver) lowestVersion() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lowest
+}
+
 func (o *recordingObserver) wentBack() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -231,7 +243,12 @@
 // publish submits a version through a control VM and retries until it succeeds.
 func (in *installation) publish(via string, version uint64) {
 	in.t.Helper()
-	document := fmt.Appendf(nil, "version %d", version)
+	in.publishDocument(via, version, fmt.Appendf(nil, "version %d", version))
+}
+
+// publishDocument is publish with a given document.
+func (in *installation) publishDocument(via string, version uint64, document []byte) {
+	in.t.Helper()
 	poll.WaitOn(in.t, func(poll.LogT) poll.Result {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -354,6 +371,35 @@
 	in.waitForVersion(12)
 }
 
+// After a restart of all processes, no VM may adopt a version that was replaced before
+// it, such as that of the last snapshot: a withdrawn route would be in use again. The
+// documents are long enough that the journals are compacted, and version 99 comes after
+// the last snapshot.
+func TestReplacedVersionIsNotAdoptedAfterFullRestart(t *testing.T) {
+	in := newInstallation(t, 3, 2)
+	long := bytes.Repeat([]byte("x"), 300<<10)
+	for version := range uint64(4) {
+		in.publishDocument("control-0", version+1, long)
+	}
+	in.publish("control-0", 99)
+	in.waitForVersion(99)
+	for _, p := range in.processes {
+		p.stop()
+	}
+	for name, p := range in.processes {
+		if p.folder == "" {
+			in.start(name, "", false)
+			continue
+		}
+		in.listen(name, p.address)
+		in.start(name, p.folder, false)
+	}
+	in.waitForVersion(99)
+	for _, p := range in.processes {
+		assert.Equal(t, p.observer.lowestVersion(), uint64(99), p.name)
+	}
+}
+
 // After all control VMs have restarted, none of them has a target list. If they
 // numbered the lists from 1 again, entry VMs, which have a list with a higher number,
 // would ignore the new lists.
--- a/core/process/cluster/loops.go
+++ b/core/process/cluster/loops.go
@@ -57,7 +57,8 @@
 }
 
 // publishLoop adopts the latest routes that the log has accepted whenever they
-// change. On the leader it also sends them to the entry VMs at once.
+// change, once the replica has caught up: those of its last snapshot may have been
+// replaced. On the leader it also sends them to the entry VMs at once.
 type publishLoop struct{ cluster *Cluster }
 
 func (l *publishLoop) run(ctx context.Context) {
@@ -69,7 +70,7 @@
 			return
 		}
 		s := c.control.Status()
-		if !c.adoptRoutes(s.Routes(), time.Now()) || !s.Leads() {
+		if !s.CaughtUp() || !c.adoptRoutes(s.Routes(), time.Now()) || !s.Leads() {
 			continue
 		}
 		c.publishRoutes()
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -29,6 +29,10 @@
 	// compactEntries is the number of entries applied since the last snapshot
 	// after which the journal is compacted.
 	compactEntries = 2000
+	// catchUpTimeout is how long after its start a replica without a leader waits
+	// before it counts as caught up: a data centre that is cut off then goes on
+	// with the newest routes that it has. An election takes less than a second.
+	catchUpTimeout = 5 * time.Second
 	// compactBytes is the total size of the entries applied since the last
 	// compaction after which the journal is compacted again, even if they are fewer
 	// than compactEntries.
@@ -80,6 +84,7 @@
 	version      uint64
 	document     []byte
 	routes       replica.Routes
+	caughtUp     bool
 	quorumAge    time.Duration
 	at           time.Time
 }
@@ -116,6 +121,11 @@
 // Routes returns the accepted routes.
 func (s Status) Routes() replica.Routes { return s.routes }
 
+// CaughtUp reports whether this replica has, since its process started, applied
+// everything that was acknowledged until then. Before that, the configuration and the
+// routes may be those of the last snapshot, which later ones have replaced.
+func (s Status) CaughtUp() bool { return s.caughtUp }
+
 // QuorumAge returns the time since the last contact of the leader with a quorum, as
 // far as this VM knows; see replica.Node.QuorumAge. It grows until the next status.
 func (s Status) QuorumAge(now time.Time) time.Duration {
@@ -154,6 +164,8 @@
 	journalRetryAt time.Time
 	lastJoinAt     time.Time
 	loggedLeader   string
+	caughtUp       bool
+	openedAt       time.Time
 
 	// stateMu guards state, which is shared between the loop and callers of
 	// Audit.
@@ -237,6 +249,7 @@
 		state:         state,
 		applied:       persisted.Snapshot().Index(),
 		pending:       make(map[uint64]proposal),
+		openedAt:      now,
 	}
 	c.node = replica.NewNode(c.self, configuredVMs, persisted, rand.IntN, now)
 	c.node.SetVoterCount(wantedVoters)
@@ -247,9 +260,9 @@
 // Status returns the latest status.
 func (c *Control) Status() Status { return *c.status.Load() }
 
-// Accepted returns a channel that receives a value after Open and after a new
-// version of the configuration or a new revision of the routes was accepted. Several
-// changes in quick succession may send only one value.
+// Accepted returns a channel that receives a value after Open, when the replica has
+// caught up, and after a new version of the configuration or a new revision of the
+// routes was accepted. Several changes in quick succession may send only one value.
 func (c *Control) Accepted() <-chan struct{} { return c.accepted }
 
 // Audit returns the audit trail of this replica, oldest record first.
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -195,11 +195,27 @@
 	return proposalResult{outcome: c.state.Apply(command)}
 }
 
+// updateCaughtUp records that the replica has applied what was acknowledged before
+// its process started. A replica without a leader counts as caught up after
+// catchUpTimeout.
+func (c *Control) updateCaughtUp(now time.Time) {
+	if c.caughtUp {
+		return
+	}
+	_, hasLeader := c.node.Leader()
+	timedOut := !hasLeader && now.Sub(c.openedAt) > catchUpTimeout
+	c.caughtUp = timedOut || c.node.CommitKnown() && c.applied >= c.node.CommitIndex()
+	if c.caughtUp {
+		c.log.Info("replica has caught up", zap.Bool("without-leader", timedOut), zap.Uint64("applied", c.applied), zap.Uint64("version", c.state.Routes().Version()))
+	}
+}
+
 // publishStatus updates the status and logs a change of the leader. It signals the
 // accepted channel for the first status and whenever the version of the
 // configuration or the revision of the routes has changed.
 func (c *Control) publishStatus(now time.Time) {
 	leader, _ := c.node.Leader()
+	c.updateCaughtUp(now)
 	c.stateMu.Lock()
 	s := &Status{
 		member:       c.self,
@@ -212,6 +228,7 @@
 		version:      c.state.Version(),
 		document:     c.state.Document(),
 		routes:       c.state.Routes(),
+		caughtUp:     c.caughtUp,
 		quorumAge:    c.node.QuorumAge(now),
 		at:           time.Now(),
 	}
@@ -221,7 +238,7 @@
 		c.loggedLeader = s.leader
 		c.log.Info("leader of the replicated log changed", zap.String("vm", s.leader), zap.Uint64("term", s.term))
 	}
-	if old != nil && old.version == s.version && old.routes.Revision() == s.routes.Revision() {
+	if old != nil && old.version == s.version && old.routes.Revision() == s.routes.Revision() && old.caughtUp == s.caughtUp {
 		return
 	}
 	select {
--- a/core/process/gateway/wire_test.go
+++ b/core/process/gateway/wire_test.go
@@ -271,6 +271,7 @@
 // any request.
 func TestExtraResponseIsNotUsedForNextRequest(t *testing.T) {
 	extras := []struct{ name, text string }{
+		{"a second copy of the first response", "HTTP/1.1 200 OK\r\nMulberrydale-Request: req-1\r\n" + signatureHeader + "Content-Length: 5\r\n\r\nextra"},
 		{"with an id that no request has", "HTTP/1.1 200 OK\r\nMulberrydale-Request: req-0\r\n" + signatureHeader + "Content-Length: 5\r\n\r\nextra"},
 		{"without an id", "HTTP/1.1 200 OK\r\n" + signatureHeader + "Content-Length: 5\r\n\r\nextra"},
 		{"a refusal without an id", "HTTP/1.1 503 X\r\nMulberrydale-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
--- a/core/process/replica/node.go
+++ b/core/process/replica/node.go
@@ -92,6 +92,8 @@
 	hardState   HardState
 	log         compactedLog
 	commitIndex uint64
+	// commitKnown is described at CommitKnown.
+	commitKnown bool
 	// syncedIndex is the index of the last log entry that is synced to disk.
 	syncedIndex     uint64
 	role            Role
@@ -179,10 +181,22 @@
 	if n.role != Leader {
 		return 0, false
 	}
+	return n.commitIndex, n.commitInCurrentTerm()
+}
+
+// commitInCurrentTerm reports whether the last committed entry is one of the current
+// term. It then covers every entry that was committed in earlier terms.
+func (n *Node) commitInCurrentTerm() bool {
 	term, known := n.log.term(n.commitIndex)
-	return n.commitIndex, known && term == n.hardState.term
+	return known && term == n.hardState.term
 }
 
+// CommitKnown reports whether the commit index has covered, at some time since the
+// process started, everything that was committed before. A replica that has just
+// started knows only its last snapshot to be committed, and a new leader does not know
+// which entries of earlier terms are.
+func (n *Node) CommitKnown() bool { return n.commitKnown }
+
 // LastQuorumContact returns the latest time at which a quorum is known to have
 // followed this leader, or false if this replica is not the leader. A read that
 // started no later than that time is linearizable once its read index is applied.
--- a/core/process/replica/replication.go
+++ b/core/process/replica/replication.go
@@ -137,6 +137,7 @@
 	}
 	lastMatch := n.mergeEntries(m)
 	n.commitIndex = max(n.commitIndex, min(m.commitIndex, lastMatch))
+	n.commitKnown = n.commitKnown || n.commitIndex == m.commitIndex && n.commitInCurrentTerm()
 	if n.commitIndex < m.commitIndex {
 		// The leader has committed entries that this replica lacks, so its state
 		// is not current.
@@ -276,6 +277,7 @@
 		return
 	}
 	n.commitIndex = index
+	n.commitKnown = true
 	if !voters.Has(n.self.id) {
 		n.becomeFollower(n.hardState.term, Member{}, now)
 		return
--- a/mulberrydale/vm/loops.go
+++ b/mulberrydale/vm/loops.go
@@ -57,7 +57,7 @@
 		}
 		s := l.vm.control.Status()
 		now := time.Now()
-		if s.Version() == 0 || !l.vm.applyConfiguration(s.Version(), s.Document(), now) {
+		if !s.CaughtUp() || s.Version() == 0 || !l.vm.applyConfiguration(s.Version(), s.Document(), now) {
 			continue
 		}
 		if s.Leads() {
