--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -240,6 +240,22 @@
 	in.start(name, folder, false)
 }
 
+// restartAll stops all processes and starts them again with their data folders.
+func (in *installation) restartAll() {
+	in.t.Helper()
+	for _, p := range in.processes {
+		p.stop()
+	}
+	for name, p := range in.processes {
+		if p.folder == "" {
+			in.start(name, "", false)
+			continue
+		}
+		in.listen(name, p.address)
+		in.start(name, p.folder, false)
+	}
+}
+
 // publish submits a version through a control VM and retries until it succeeds.
 func (in *installation) publish(via string, version uint64) {
 	in.t.Helper()
@@ -357,17 +373,7 @@
 	in := newInstallation(t, 3, 1)
 	in.publish("control-1", 12)
 	in.waitForVersion(12)
-	for _, p := range in.processes {
-		p.stop()
-	}
-	for name, p := range in.processes {
-		if p.folder == "" {
-			in.start(name, "", false)
-			continue
-		}
-		in.listen(name, p.address)
-		in.start(name, p.folder, false)
-	}
+	in.restartAll()
 	in.waitForVersion(12)
 }
 
@@ -383,17 +389,7 @@
 	}
 	in.publish("control-0", 99)
 	in.waitForVersion(99)
-	for _, p := range in.processes {
-		p.stop()
-	}
-	for name, p := range in.processes {
-		if p.folder == "" {
-			in.start(name, "", false)
-			continue
-		}
-		in.listen(name, p.address)
-		in.start(name, p.folder, false)
-	}
+	in.restartAll()
 	in.waitForVersion(99)
 	for _, p := range in.processes {
 		assert.Equal(t, p.observer.lowestVersion(), uint64(99), p.name)
--- a/core/process/replica/node.go
+++ b/core/process/replica/node.go
@@ -173,40 +173,6 @@
 // after now.
 func (n *Node) ScheduleHeartbeat(now time.Time) { n.heartbeatAt = now }
 
-// ReadIndex returns the index that must be applied before a read that starts now
-// is served. It returns false unless this replica is the leader and has
-// committed an entry of its own term: before that it does not know which entries
-// of earlier terms are committed.
-func (n *Node) ReadIndex() (index uint64, ok bool) {
-	if n.role != Leader {
-		return 0, false
-	}
-	return n.commitIndex, n.commitInCurrentTerm()
-}
-
-// commitInCurrentTerm reports whether the last committed entry is one of the current
-// term. It then covers every entry that was committed in earlier terms.
-func (n *Node) commitInCurrentTerm() bool {
-	term, known := n.log.term(n.commitIndex)
-	return known && term == n.hardState.term
-}
-
-// CommitKnown reports whether the commit index has covered, at some time since the
-// process started, everything that was committed before. A replica that has just
-// started knows only its last snapshot to be committed, and a new leader does not know
-// which entries of earlier terms are.
-func (n *Node) CommitKnown() bool { return n.commitKnown }
-
-// LastQuorumContact returns the latest time at which a quorum is known to have
-// followed this leader, or false if this replica is not the leader. A read that
-// started no later than that time is linearizable once its read index is applied.
-func (n *Node) LastQuorumContact(now time.Time) (time.Time, bool) {
-	if n.role != Leader {
-		return time.Time{}, false
-	}
-	return n.quorumContactTime(now), true
-}
-
 // Role returns the current role.
 func (n *Node) Role() Role { return n.role }
 
@@ -277,25 +243,6 @@
 	return n.log.snapshot.voters
 }
 
-// QuorumAge returns the time since the last contact of the leader with a quorum,
-// as far as this replica knows. On a follower it grows until the leader reports a
-// later contact, and it does not include the transit time of the leader's message.
-// It is at least unknownQuorumAge if no leader is known or this replica lacks
-// committed entries.
-func (n *Node) QuorumAge(now time.Time) time.Duration {
-	switch {
-	case n.role == Leader:
-		return now.Sub(n.quorumContactTime(now))
-	case n.leader.id != "":
-		return n.leaderQuorumAge + now.Sub(n.leaderContactAt)
-	}
-	return unknownQuorumAge
-}
-
-// unknownQuorumAge represents an unknown quorum age. It is longer than any
-// limit that a quorum age is compared with.
-const unknownQuorumAge = 24 * time.Hour
-
 // Tick carries out the actions that are due. A leader sends heartbeats; any other
 // replica starts an election once its election timer has expired.
 func (n *Node) Tick(now time.Time) {
