--- a/core/request/claim/claim.go
+++ b/core/request/claim/claim.go
@@ -121,9 +121,10 @@
 // Claim claims an id for a holder and keeps the record at least for the
 // retention time, unless Settle releases the id before. It returns Granted if the
 // id is new, Settled if its outcome is known, InDoubt if another holder has an open
-// claim on it, and Full if the table is full. Until the claim is settled, Claim is idempotent for the same
-// holder, which may repeat it after a lost response. The time now is taken from
-// the replicated log, so that every replica removes the same expired ids.
+// claim on it, and Full if the table is full. Until the claim is settled, Claim is
+// idempotent for the same holder, which may repeat it after a lost response. The
+// time now is taken from the replicated log, so that every replica removes the same
+// expired ids.
 func (t *Table) Claim(id, holder string, retention time.Duration, now time.Time) Outcome {
 	t.removeExpired(now)
 	if r, ok := t.records[id]; ok {
