--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 test: lint unit
 
 lint:
+	@ignored=$$(git ls-files -oi --exclude-standard '*.go'); if [ -n "$$ignored" ]; then echo "Go files that git ignores and a commit lacks: $$ignored"; exit 1; fi
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	go vet $(MODULES)
 	go tool staticcheck $(MODULES)
