control: refusals follow the status; an empty replica doesn't claim to have caught up

Cause: propose and beginRead answered a caller at once when the replica had just lost the leadership, before the status of the step was published, so a caller could still read a status that says this VM leads. Ruled out: the other answers (failJournal, applyCommitted, finishReads) already wait. Both new tests fail on: 2 answers before the status, caught up with 0 entries. A replica that goes on without a leader now logs a warning that names its version.

--- a/core/process/control/faults.go
+++ b/core/process/control/faults.go
@@ -102,7 +102,7 @@
 func (c *Control) beginRead(r readRequest, now time.Time) {
 	index, ok := c.node.ReadIndex()
 	if !ok || !c.journalFailedAt.IsZero() {
-		r.reply <- readResult{err: result.New(result.NoQuorum, "this VM is not the leader")}
+		c.answers = append(c.answers, readAnswer{reply: r.reply, result: readResult{err: result.New(result.NoQuorum, "this VM is not the leader")}})
 		return
 	}
 	r.index = index
--- a/core/process/control/faults_test.go
+++ b/core/process/control/faults_test.go
@@ -63,6 +63,53 @@
 	<-s.done
 }
 
+// A change or read that is refused because the VM has just stepped down must not be
+// answered while the status still says that the VM leads.
+func TestRefusalsFollowTheStatus(t *testing.T) {
+	clock := monotonicClock{base: time.Now()}
+	tests := []struct {
+		name string
+		lose func(c *Control)
+		code result.Code
+	}{
+		{"stepped down", func(c *Control) { c.node.StepDown(clock.now()) }, result.NoQuorum},
+		{"journal not writable", func(c *Control) {
+			c.node.StepDown(clock.now())
+			c.journalFailedAt = clock.now()
+			c.journalRetryAt = clock.now().Add(time.Hour)
+		}, result.JournalUnusable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := openLeader(t, t.TempDir(), clock)
+			change := make(chan proposalResult, 1)
+			read := make(chan readResult, 1)
+			tt.lose(c)
+			c.handle(proposal{command: replica.NewPublishRoutes(1, []byte("text")), reply: change}, clock.now())
+			c.handle(readRequest{reply: read}, clock.now())
+			assert.Assert(t, c.Status().Leads())
+			assert.Equal(t, len(change)+len(read), 0, "answered before the status")
+			assert.NilError(t, c.step(clock))
+			assert.Assert(t, !c.Status().Leads())
+			assert.Equal(t, result.CodeOf((<-change).err), tt.code)
+			assert.Equal(t, result.CodeOf((<-read).err), result.NoQuorum)
+		})
+	}
+}
+
+// A replica that has no entry and no leader must not claim to have caught up; one
+// with entries goes on with them after catchUpTimeout.
+func TestEmptyReplicaWithoutLeaderHasNotCaughtUp(t *testing.T) {
+	for _, applied := range []uint64{0, 4} {
+		clock := monotonicClock{base: time.Now()}
+		c, err := Open(t.TempDir(), "vm-2", nil, 3, noPeers{}, noPeers{}, zap.NewNop(), clock.now())
+		assert.NilError(t, err)
+		c.applied = applied
+		c.updateCaughtUp(clock.now().Add(catchUpTimeout + time.Second))
+		assert.Equal(t, c.caughtUp, applied > 0, "%d entries applied", applied)
+	}
+}
+
 // peerSender is the Sender and Peers of a control VM with one other VM. It queues
 // messages for the other VM in outbox.
 type peerSender struct {
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -79,19 +79,24 @@
 // command if this replica is not the leader or can't write its journal.
 func (c *Control) propose(p proposal, now time.Time) {
 	if !c.journalFailedAt.IsZero() {
-		p.reply <- proposalResult{err: result.New(result.JournalUnusable, "the journal of this VM is not writable")}
+		c.rejectProposal(p, result.New(result.JournalUnusable, "the journal of this VM is not writable"))
 		return
 	}
 	payload := replica.EncodeCommand(replica.WithAppendTime(p.command, now))
 	index, term, ok := c.node.Propose(payload)
 	if !ok {
-		p.reply <- proposalResult{err: result.New(result.NoQuorum, "this VM is not the leader")}
+		c.rejectProposal(p, result.New(result.NoQuorum, "this VM is not the leader"))
 		return
 	}
 	p.term = term
 	c.pending[index] = p
 }
 
+// rejectProposal answers a proposal with an error at the end of this step.
+func (c *Control) rejectProposal(p proposal, err error) {
+	c.answers = append(c.answers, proposalAnswer{reply: p.reply, result: proposalResult{err: err}})
+}
+
 // step runs the timers of the replica, writes the records and sends the messages of
 // its output, and applies committed entries. The order is required for safety:
 // records are written and synced before messages that depend on them are sent, and
@@ -101,6 +106,8 @@
 	now := clock.now()
 	if !c.journalFailedAt.IsZero() {
 		if ok, err := c.recoverJournal(now); !ok {
+			c.publishStatus(now)
+			c.sendAnswers()
 			return err
 		}
 	}
@@ -195,17 +202,21 @@
 }
 
 // updateCaughtUp records that the replica has applied what was acknowledged before
-// its process started. A replica without a leader counts as caught up after
-// catchUpTimeout.
+// its process started. A replica that holds applied entries but has no leader counts
+// as caught up after catchUpTimeout; an empty one has nothing to go on with.
 func (c *Control) updateCaughtUp(now time.Time) {
 	if c.caughtUp {
 		return
 	}
 	_, hasLeader := c.node.Leader()
-	timedOut := !hasLeader && now.Sub(c.openedAt) > catchUpTimeout
-	c.caughtUp = timedOut || c.node.CommitKnown() && c.applied >= c.node.CommitIndex()
-	if c.caughtUp {
-		c.log.Info("replica has caught up", zap.Bool("without-leader", timedOut), zap.Uint64("applied", c.applied), zap.Uint64("version", c.state.Routes().Version()))
+	timedOut := !hasLeader && c.applied > 0 && now.Sub(c.openedAt) > catchUpTimeout
+	known := c.node.CommitKnown() && c.applied >= c.node.CommitIndex()
+	c.caughtUp = timedOut || known
+	switch {
+	case known:
+		c.log.Info("replica has caught up", zap.Uint64("applied", c.applied), zap.Uint64("version", c.state.Routes().Version()))
+	case timedOut:
+		c.log.Warn("no leader found; using the newest routes in the journal", zap.Duration("after", now.Sub(c.openedAt)), zap.Uint64("applied", c.applied), zap.Uint64("version", c.state.Routes().Version()))
 	}
 }
 
