placement: a kind's response times over all services tell a slow target where one shard's are too few

Cause: the median and the time after which a response is overdue were kept per shard and kind, and known from 8 responses on. Where 295 VMs share 120 requests a second to 225 shards, a VM gets 0.24 responses a second of a shard and kind: half a minute passes until the estimate is known. Until then no response raises a slowdown, no request in flight counts as overdue, and so no finding about a slow target is ever made or shared. Ruled out: the exchange of findings itself (unit tests, and it works with 60 VMs).

--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -49,8 +49,11 @@
 	limits    Limits
 	startedAt time.Time
 
-	mu           sync.Mutex
-	groups       map[string]*group
+	mu     sync.Mutex
+	groups map[string]*group
+	// latencies holds the response times of each kind of request to all services
+	// together.
+	latencies    map[string]*latency
 	byID         map[string]*Target
 	outOfService map[string]bool
 	reachability map[string]*centreReachability
@@ -82,6 +85,7 @@
 		limits:       limits,
 		startedAt:    now,
 		groups:       make(map[string]*group),
+		latencies:    make(map[string]*latency),
 		byID:         make(map[string]*Target),
 		outOfService: make(map[string]bool),
 		reachability: make(map[string]*centreReachability),
@@ -100,15 +104,34 @@
 	return g
 }
 
-// latency returns the response times of a kind of request and creates the entry
-// on first use. The caller holds g.fleet.mu.
+// latency returns the estimated response time of a kind of request: that of this
+// service, or that of all services together while this VM has too few responses of
+// this one. The caller holds g.fleet.mu.
+//
+// For example, where 300 VMs share the requests to 200 shards, a VM needs half a
+// minute until it has enough responses of each shard to tell a slow target from a
+// normal one, but its first request already gives it 200 responses of all shards.
 func (g *group) latency(kind string) *latency {
-	l := g.latencies[kind]
-	if l == nil {
-		l = &latency{}
-		g.latencies[kind] = l
+	if l := g.latencies[kind]; l != nil && l.known() {
+		return l
 	}
-	return l
+	if l := g.fleet.latencies[kind]; l != nil {
+		return l
+	}
+	return &latency{}
+}
+
+// addResponseTime records the response time of a kind of request. The caller holds
+// g.fleet.mu.
+func (g *group) addResponseTime(kind string, responseTime time.Duration) {
+	if g.latencies[kind] == nil {
+		g.latencies[kind] = newServiceLatency()
+	}
+	if g.fleet.latencies[kind] == nil {
+		g.fleet.latencies[kind] = newPooledLatency()
+	}
+	g.latencies[kind].add(responseTime)
+	g.fleet.latencies[kind].add(responseTime)
 }
 
 // coldLimit returns how many requests this VM may send to a cold target in one
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -194,10 +194,9 @@
 	if !l.streamingSince.IsZero() {
 		responseTime = l.streamingSince.Sub(l.sentAt)
 	}
-	stats := l.target.group.latency(l.kind)
-	l.target.recordResponse(responseTime, stats.median)
+	l.target.recordResponse(responseTime, l.target.group.latency(l.kind).median)
 	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends = 0
-	stats.add(responseTime)
+	l.target.group.addResponseTime(l.kind, responseTime)
 	l.release(now)
 }
 
