health: late responses of many VMs are judged together; one no longer marks a target slow

Cause: one response of 130 ms, which a pause of a target explains, raised its slowdown to 2.05, above what counts as slow, so the VM avoided it until its next trial request: up to 14 s later with 60 VMs, 69 s with 295. Change, on three sides. A VM: slow responses within 150 ms of each other raise the slowdown to the threshold at most, and this part decays in half a second; two that are further apart, or one over any pause, count as before. On the wire: a VM sends each response over 2.5 times the median to the control VMs within 100 ms (a new message; a random part where a target has more than 40 responses a second). A VM's own late response no longer overrides what the others found.

Control VMs must be upgraded before entry VMs: older ones close the session at the new message.

--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -18,6 +18,7 @@
 	wirePublishedRoutes
 	wireReadRoutes
 	wireTargetList
+	wireLateResponses
 )
 
 // Encode encodes a message as the payload of a frame.
@@ -63,6 +64,9 @@
 	case TargetList:
 		enc.Uint(wireTargetList)
 		encodeTargetList(enc, m)
+	case LateResponses:
+		enc.Uint(wireLateResponses)
+		encodeLateResponses(enc, m)
 	}
 	return enc.Payload()
 }
@@ -95,6 +99,8 @@
 		out = ReadRoutes{number: dec.Uint()}
 	case wireTargetList:
 		out = decodeTargetList(dec)
+	case wireLateResponses:
+		out = decodeLateResponses(dec)
 	default:
 		dec.Fail("unknown message kind")
 	}
--- a/core/connection/peer/message.go
+++ b/core/connection/peer/message.go
@@ -8,7 +8,7 @@
 
 // Message is a message between processes: Hello, Heartbeat, ReplicaMessage,
 // ConfigurationPush, ForwardedCommand, Reply, TargetUpdates, Presence,
-// PublishedRoutes, ReadRoutes or TargetList.
+// PublishedRoutes, ReadRoutes, TargetList or LateResponses.
 type Message interface{ message() }
 
 // Hello identifies the sender; it is the first message of each connection of
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -34,6 +34,7 @@
 	peer.NewTargetList(true, 4, time.Second, discovery.NewDifference([]discovery.Instance{
 		discovery.NewInstance("i-1", "s-1", "10.0.0.9:8", "dc-1", 2).WithLeaving(true).WithColdFor(time.Second),
 	}, []string{"i-2"})),
+	peer.NewLateResponses([]discovery.LateResponse{discovery.NewLateResponse("i-1", time.Second, 25*time.Millisecond)}),
 }
 
 func TestMessageRoundTrip(t *testing.T) {
--- a/core/connection/peer/presence.go
+++ b/core/connection/peer/presence.go
@@ -131,6 +131,16 @@
 // Number returns the number that the reply repeats.
 func (r ReadRoutes) Number() uint64 { return r.number }
 
+// LateResponses carries the late responses that an entry VM received since its last
+// message of this kind, to a control VM.
+type LateResponses struct{ list []discovery.LateResponse }
+
+// NewLateResponses returns a message with late responses.
+func NewLateResponses(list []discovery.LateResponse) LateResponses { return LateResponses{list: list} }
+
+// List returns the late responses.
+func (l LateResponses) List() []discovery.LateResponse { return l.list }
+
 // TargetList carries either the complete list of targets, or the changes since
 // the previous TargetList on the same session.
 type TargetList struct {
@@ -165,3 +175,4 @@
 func (PublishedRoutes) message() {}
 func (ReadRoutes) message()      {}
 func (TargetList) message()      {}
+func (LateResponses) message()   {}
--- a/core/connection/peer/presencecodec.go
+++ b/core/connection/peer/presencecodec.go
@@ -47,6 +47,23 @@
 	return p
 }
 
+func encodeLateResponses(enc *frame.Encoder, l LateResponses) {
+	enc.Uint(uint64(len(l.list)))
+	for _, r := range l.list {
+		enc.String(r.ID())
+		enc.Duration(r.Age())
+		enc.Duration(r.Interval())
+	}
+}
+
+func decodeLateResponses(dec *frame.Decoder) LateResponses {
+	var l LateResponses
+	for range dec.Len() {
+		l.list = append(l.list, discovery.NewLateResponse(dec.String(), dec.Duration(), dec.Duration()))
+	}
+	return l
+}
+
 func encodeTargetList(enc *frame.Encoder, t TargetList) {
 	enc.Bool(t.full)
 	enc.Uint(t.number)
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -22,6 +22,7 @@
 	"github.com/mulberrydale/mulberrydale/core/connection/session"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/health"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 )
 
@@ -121,9 +122,9 @@
 	// reportedEntryVMs is the number of entry VMs in the latest presence, at least
 	// 1, and 0 before the first presence. It is set on entry VMs only.
 	reportedEntryVMs int
-	// healthByTarget is the health of targets by id, from the findings of entry
-	// VMs. It is used on control VMs only.
-	healthByTarget map[string]targetHealth
+	// health holds what the entry VMs observed of the targets. It is used on
+	// control VMs only.
+	health *health.Table
 	// dataCentreSeen is when the last presence came from each data centre.
 	dataCentreSeen map[string]time.Time
 }
@@ -140,7 +141,7 @@
 		seeds:          seeds,
 		controlLinks:   make(map[string]*controlLink),
 		sessions:       make(map[*session.Session]*peerState),
-		healthByTarget: make(map[string]targetHealth),
+		health:         health.NewTable(),
 		dataCentreSeen: make(map[string]time.Time),
 	}
 }
@@ -173,6 +174,9 @@
 		go (&publishLoop{cluster: c}).run(ctx)
 	}
 	go (&readLoop{cluster: c}).run(ctx)
+	if c.control == nil && c.findingSource != nil {
+		go (&lateLoop{cluster: c}).run(ctx)
+	}
 	c.presenceLoop(ctx)
 }
 
--- a/core/process/cluster/findings.go
+++ b/core/process/cluster/findings.go
@@ -1,101 +1,23 @@
 package cluster
 
 import (
-	"sort"
+	"context"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 )
 
-// findingTTL is how long a control VM keeps the health of a target after the
-// latest finding on it. A finding (discovery.HealthFinding) says whether the requests
-// of an entry VM showed a target to be healthy or unhealthy, and how long ago.
-const findingTTL = 3 * time.Second
-
-const (
-	// maxUnhealthyGap is the longest time between two unhealthy findings of one
-	// series. After a longer gap, an unhealthy finding starts a new series.
-	maxUnhealthyGap = 2 * time.Second
-	// minUnhealthySpan is the time that a series of unhealthy findings must
-	// span before a target is reported as unhealthy. A single pause of a target
-	// ends at the same moment for all requests that it delays; a target that is
-	// slow causes unhealthy findings repeatedly.
-	minUnhealthySpan = 150 * time.Millisecond
-	// minHealthySpan is the least time between the last unhealthy finding and
-	// the last healthy one after which a target is reported as healthy. A
-	// target that rejects half of its requests answers the other half well, so
-	// a healthy finding soon after an unhealthy one does not show that the
-	// target has recovered.
-	minHealthySpan = 600 * time.Millisecond
-)
-
-// targetHealth combines the findings of all VMs on one target. The times are
-// those of this process's clock.
-type targetHealth struct {
-	// firstUnhealthy and lastUnhealthy are the times of the first and the last
-	// finding of the latest series of unhealthy findings, zero if there was
-	// none.
-	firstUnhealthy time.Time
-	lastUnhealthy  time.Time
-	// lastHealthy is the time of the last healthy finding, zero if there was
-	// none.
-	lastHealthy time.Time
-}
-
-// add returns the health after one more finding. An unhealthy finding starts a
-// new series if the previous unhealthy one is more than maxUnhealthyGap older
-// or the target has recovered since. A finding that is older than the last one
-// of its kind changes nothing.
-func (h targetHealth) add(unhealthy bool, at time.Time) targetHealth {
-	switch {
-	case !unhealthy:
-		if at.After(h.lastHealthy) {
-			h.lastHealthy = at
-		}
-	case h.lastUnhealthy.IsZero() || at.Sub(h.lastUnhealthy) > maxUnhealthyGap || h.recovered() && at.After(h.lastHealthy):
-		h.firstUnhealthy = at
-		h.lastUnhealthy = at
-	case at.After(h.lastUnhealthy):
-		h.lastUnhealthy = at
-	}
-	return h
-}
-
-// recovered reports whether the time of the last healthy finding is at least
-// minHealthySpan after that of the last unhealthy one, or there are only
-// healthy findings.
-func (h targetHealth) recovered() bool { return h.lastHealthy.Sub(h.lastUnhealthy) >= minHealthySpan }
-
-// verdict returns whether the target is unhealthy and the time of the latest
-// finding that shows it. ok is false while the findings are not conclusive.
-//
-// For example, late responses at 10.00 s and 10.01 s are not conclusive; after
-// another one at 10.20 s the target is reported as unhealthy.
-func (h targetHealth) verdict() (unhealthy bool, at time.Time, ok bool) {
-	switch {
-	case h.recovered():
-		return false, h.lastHealthy, true
-	case h.lastUnhealthy.Sub(h.firstUnhealthy) >= minUnhealthySpan:
-		return true, h.lastUnhealthy, true
-	}
-	return false, time.Time{}, false
-}
-
-// latestFinding returns the time of the latest finding, healthy or unhealthy.
-func (h targetHealth) latestFinding() time.Time {
-	if h.lastHealthy.After(h.lastUnhealthy) {
-		return h.lastHealthy
-	}
-	return h.lastUnhealthy
-}
+// lateInterval is the time between two messages of an entry VM with late responses.
+const lateInterval = 100 * time.Millisecond
 
 // FindingSource is the part of an entry VM that holds findings on the health of
-// targets. Findings returns those from recent requests of this VM, to be sent to the
-// control VMs. TakeFindings applies those that a control VM combined from the
-// findings of all entry VMs.
+// targets. Findings returns those from recent requests of this VM and LateResponses
+// its late responses since the last call, to be sent to the control VMs. TakeFindings
+// applies those that a control VM combined from what all entry VMs sent.
 type FindingSource interface {
 	Findings(now time.Time) []discovery.HealthFinding
+	LateResponses(now time.Time) []discovery.LateResponse
 	TakeFindings(findings []discovery.HealthFinding, now time.Time)
 }
 
@@ -117,27 +39,44 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, f := range p.Findings() {
-		c.healthByTarget[f.ID()] = c.healthByTarget[f.ID()].add(f.Unhealthy(), now.Add(-f.Age()))
-	}
+	c.health.AddFindings(p.Findings(), now)
 }
 
-// currentFindings returns one finding, the verdict, for each target for which the
-// findings of the entry VMs are conclusive, sorted by target id. It removes targets
-// without a finding for findingTTL. The caller holds mu.
-func (c *Cluster) currentFindings(now time.Time) []discovery.HealthFinding {
-	var out []discovery.HealthFinding
-	for id, h := range c.healthByTarget {
-		if now.Sub(h.latestFinding()) > findingTTL {
-			delete(c.healthByTarget, id)
-			continue
-		}
-		if unhealthy, at, ok := h.verdict(); ok {
-			out = append(out, discovery.NewHealthFinding(id, unhealthy, now.Sub(at)))
+// receiveLate adds the late responses of an entry VM. Entry VMs receive none.
+func (c *Cluster) receiveLate(l peer.LateResponses, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.health.AddLate(l.List(), now)
+}
+
+// lateLoop sends the late responses of an entry VM to the control VMs.
+type lateLoop struct{ cluster *Cluster }
+
+func (l *lateLoop) run(ctx context.Context) {
+	ticker := time.NewTicker(lateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			l.cluster.sendLate(time.Now())
+		case <-ctx.Done():
+			return
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID() < out[j].ID() })
-	return out
+}
+
+// sendLate sends the late responses since the last call on every session.
+func (c *Cluster) sendLate(now time.Time) {
+	late := c.findingSource.LateResponses(now)
+	if len(late) == 0 {
+		return
+	}
+	payload := peer.Encode(peer.NewLateResponses(late))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for s := range c.sessions {
+		s.Send(payload)
+	}
 }
 
 // sharesFindingsWith reports whether this control VM sends findings to a peer.
--- a/core/process/cluster/presence.go
+++ b/core/process/cluster/presence.go
@@ -42,7 +42,7 @@
 	}
 	p := c.presence(now)
 	withoutFindings := peer.Encode(p)
-	withFindings := peer.Encode(p.WithFindings(c.currentFindings(now)))
+	withFindings := peer.Encode(p.WithFindings(c.health.Verdicts(now)))
 	for s, r := range c.sessions {
 		if r.identified && !c.sendList(s, r, now) {
 			continue
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -47,6 +47,8 @@
 		c.deliverToReplica(m)
 	case peer.PublishedRoutes:
 		c.adoptRoutes(m.Routes(), now)
+	case peer.LateResponses:
+		c.receiveLate(m, now)
 	case peer.TargetList:
 		c.receiveList(s, m, now)
 	case peer.ForwardedCommand:
--- a/core/process/discovery/discovery.go
+++ b/core/process/discovery/discovery.go
@@ -202,3 +202,28 @@
 
 // Age returns how long ago the finding was made.
 func (f HealthFinding) Age() time.Duration { return f.age }
+
+// LateResponse is a response of a target instance that took much longer than usual.
+// One alone may be due to a pause of the target or to a request with more work.
+type LateResponse struct {
+	id       string
+	age      time.Duration
+	interval time.Duration
+}
+
+// NewLateResponse returns a late response that arrived the given time ago. The
+// interval is the expected mean time between two responses of the instance to all VMs
+// together.
+func NewLateResponse(id string, age, interval time.Duration) LateResponse {
+	return LateResponse{id: id, age: age, interval: interval}
+}
+
+// ID returns the id of the instance.
+func (r LateResponse) ID() string { return r.id }
+
+// Age returns how long ago the response arrived.
+func (r LateResponse) Age() time.Duration { return r.age }
+
+// Interval returns the expected mean time between two responses of the instance to
+// all VMs together.
+func (r LateResponse) Interval() time.Duration { return r.interval }
--- a/core/process/placement/budget.go
+++ b/core/process/placement/budget.go
@@ -75,6 +75,17 @@
 	b.firsts[b.advance(now)]++
 }
 
+// firstInterval returns the mean time between two first attempts within the window,
+// or the whole window if there was none.
+func (b *retryBudget) firstInterval(now time.Time) time.Duration {
+	b.advance(now)
+	firsts := 0
+	for _, n := range b.firsts {
+		firsts += n
+	}
+	return min(b.window, now.Sub(b.startedAt)) / time.Duration(max(1, firsts))
+}
+
 // slackShare returns this VM's share of the slack, in attempts. It grows from
 // initialSlackFraction to the whole share over the first window of the process,
 // because the VM may have used its share just before a restart.
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -84,7 +84,7 @@
 	if median <= 0 {
 		median = defaultResponseTime
 	}
-	slowdown := t.slowdown
+	slowdown := t.currentSlowdown(now)
 	if f.trialDue(t, now) {
 		slowdown = min(slowdown, 1)
 	}
--- a/core/process/placement/finding.go
+++ b/core/process/placement/finding.go
@@ -19,8 +19,52 @@
 	// on the findings of these. Because ownTrialInterval rounds down, up to five
 	// VMs may send one.
 	trialsPerInterval = 3
+	// maxKeptLate bounds the late responses that are kept for LateResponses.
+	maxKeptLate = 256
+	// minLateInterval is the least mean time between two late responses of one
+	// target, from all VMs together, if all its responses are late. Of a target
+	// with more responses a random part of the late ones is reported.
+	minLateInterval = 25 * time.Millisecond
 )
 
+// lateResponse is a response that took more than lateSample times the median.
+type lateResponse struct {
+	id string
+	at time.Time
+	// interval is described at discovery.LateResponse.
+	interval time.Duration
+}
+
+// addLate keeps a late response, or a random part of them for a target with many
+// responses. The caller holds f.mu.
+func (f *Fleet) addLate(t *Target, now time.Time) {
+	interval := f.responseInterval(t.group, now)
+	if len(f.late) >= maxKeptLate || rand.Float64() >= float64(interval)/float64(minLateInterval) {
+		return
+	}
+	f.late = append(f.late, lateResponse{id: t.id, at: now, interval: max(interval, minLateInterval)})
+}
+
+// responseInterval estimates the mean time between two responses of a target of a
+// service to all VMs together, from the first attempts of this VM: it takes the other
+// VMs to send as many, and all of them to spread these over the targets. The caller
+// holds f.mu.
+func (f *Fleet) responseInterval(g *group, now time.Time) time.Duration {
+	return time.Duration(float64(g.budget.firstInterval(now)) * float64(max(1, len(g.targets))) / float64(f.entryVMs))
+}
+
+// LateResponses returns the late responses since the last call.
+func (f *Fleet) LateResponses(now time.Time) []discovery.LateResponse {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []discovery.LateResponse
+	for _, r := range f.late {
+		out = append(out, discovery.NewLateResponse(r.id, now.Sub(r.at), r.interval))
+	}
+	f.late = nil
+	return out
+}
+
 // Findings returns what recent requests of this VM showed about its targets:
 // the unhealthy ones (slow, failing or not responding), and those that other
 // VMs reported unhealthy but that have responded well since. The VMs share
@@ -42,7 +86,7 @@
 		}
 		if t.unhealthy(now) {
 			out = append(out, discovery.NewHealthFinding(id, true, age))
-		} else if t.peerReport.unhealthy && t.lastObservedAt.After(t.peerReport.observedAt) {
+		} else if t.peerReport.unhealthy && t.slowSince.IsZero() && t.lastObservedAt.After(t.peerReport.observedAt) {
 			out = append(out, discovery.NewHealthFinding(id, false, age))
 		}
 	}
@@ -86,10 +130,11 @@
 	return t.stalled(now) || t.consecutiveFailures > 0 || t.slowdown > slowThreshold || t.errorRate > errorRateThreshold
 }
 
-// reportedUnhealthy reports whether another VM found the target unhealthy,
-// within findingLifetime and after this VM's last own observation.
+// reportedUnhealthy reports whether the other VMs found the target unhealthy within
+// findingLifetime, and no later observation of this VM contradicts them.
 func (t *Target) reportedUnhealthy(now time.Time) bool {
-	return t.peerReport.unhealthy && now.Sub(t.peerReport.observedAt) < findingLifetime && t.peerReport.observedAt.After(t.lastObservedAt)
+	contradicted := t.slowSince.IsZero() && !t.peerReport.observedAt.After(t.lastObservedAt)
+	return t.peerReport.unhealthy && now.Sub(t.peerReport.observedAt) < findingLifetime && !contradicted
 }
 
 // trialDue reports whether a trial request is due if the target is being
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -62,6 +62,8 @@
 	// entryVMsSetAt is when SetEntryVMs last took effect, which is when entryVMs
 	// VMs were last known to run.
 	entryVMsSetAt time.Time
+	// late holds the late responses since LateResponses was last called.
+	late []lateResponse
 }
 
 // group holds the targets of one service, with its retry budget, response times
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -55,7 +55,7 @@
 func (f *Fleet) grant(g *group, t *Target, kind string, charged bool, now time.Time) *Lease {
 	l := &Lease{fleet: f, target: t, instance: t.instance, kind: kind, charged: charged, sentAt: now, idleTimeout: f.idleTimeout(g, t)}
 	if stats := g.latency(kind); stats.known() {
-		l.overdueAt = now.Add(max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.slowdown)))
+		l.overdueAt = now.Add(max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now))))
 	}
 	t.inFlight[l] = struct{}{}
 	t.lastSentAt = now
@@ -189,12 +189,11 @@
 func (l *Lease) Succeeded(now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	l.target.lastObservedAt = now
 	responseTime := now.Sub(l.sentAt)
 	if !l.streamingSince.IsZero() {
 		responseTime = l.streamingSince.Sub(l.sentAt)
 	}
-	l.target.recordResponse(responseTime, l.target.group.latency(l.kind).median)
+	l.recordResponse(responseTime, now)
 	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends = 0
 	l.target.group.addResponseTime(l.kind, responseTime)
 	l.release(now)
@@ -247,12 +246,21 @@
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	if !l.overdueAt.IsZero() && now.After(l.overdueAt) {
-		l.target.lastObservedAt = now
-		l.target.recordResponse(now.Sub(l.sentAt), l.target.group.latency(l.kind).median)
+		l.recordResponse(now.Sub(l.sentAt), now)
 	}
 	l.release(now)
 }
 
+// recordResponse updates the health of the target with a response time, and keeps a
+// late response for LateResponses. The caller holds l.fleet.mu.
+func (l *Lease) recordResponse(responseTime time.Duration, now time.Time) {
+	late := l.target.recordResponse(responseTime, l.target.group.latency(l.kind).median, now)
+	l.target.lastObservedAt = now
+	if late {
+		l.fleet.addLate(l.target, now)
+	}
+}
+
 // ReportLoad records the load that the target reported with a response: the
 // requests that it runs and those in its queue.
 func (l *Lease) ReportLoad(running, waiting int, now time.Time) {
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -11,10 +11,18 @@
 const (
 	// slowdownWeight is the weight of a new sample in a target's slowdown.
 	slowdownWeight = 0.35
-	// maxSlowdownSample bounds one sample, to limit the effect of a single
-	// pause on whether a target counts as slow. One sample at the bound raises
-	// a slowdown of 1 to 2.05, which is above slowThreshold.
+	// maxSlowdownSample bounds one sample, so that a target that was very slow
+	// needs few good responses to count as healthy again.
 	maxSlowdownSample = 4.0
+	// lateSample is the response time, divided by the median, above which a
+	// response is reported to the other VMs as late.
+	lateSample = 2.5
+	// suspicionDecayTime is the time constant with which the slowdown from a
+	// single late response decays exponentially.
+	suspicionDecayTime = 500 * time.Millisecond
+	// maxSlowGap is the longest time between two slow responses of one series.
+	// Pauses of a target are further apart.
+	maxSlowGap = 2 * time.Second
 	// slowThreshold is the slowdown above which a target gets only trial
 	// requests while other targets of the service have capacity left.
 	slowThreshold = 1.6
@@ -67,6 +75,9 @@
 	// divided by the service's median for that kind of request; 1 is average
 	// and higher is slower.
 	slowdown float64
+	// slowSince is when the first of the latest responses that were all slow
+	// arrived, zero if the last response was not slow.
+	slowSince time.Time
 	// errorRate is the moving average of failed outcomes, from 0 to 1.
 	errorRate float64
 	// lastSentAt is when a request was last sent. TakeFindings sets it to a
@@ -153,22 +164,49 @@
 
 // recordResponse updates the target's health with a response time. The median
 // is that of the service for this kind of request. If it is 0, which means
-// unknown, the slowdown stays as it is.
-func (t *Target) recordResponse(responseTime, median time.Duration) {
+// unknown, the slowdown stays as it is. It reports whether the response was late.
+//
+// Slow responses that a single pause of the target can explain do not raise the
+// slowdown above slowThreshold. For example, after one response that took 130 ms
+// instead of 10 ms the slowdown is 1.6, so that the next requests go to other
+// targets, and half a second later 1.2. The caller sets lastObservedAt afterwards.
+func (t *Target) recordResponse(responseTime, median time.Duration, now time.Time) (late bool) {
 	t.consecutiveFailures = 0
 	t.downUntil = time.Time{}
 	t.errorRate *= 1 - errorWeight
 	if median <= 0 {
-		return
+		return false
 	}
 	sample := min(float64(responseTime)/float64(median), maxSlowdownSample)
-	if t.slowdown > slowThreshold && sample < slowThreshold {
+	wasSlow := t.slowdown > slowThreshold
+	if wasSlow && sample < slowThreshold {
 		// One normal response to a trial request is enough to use a slow target
 		// again.
 		t.slowdown = sample
-		return
+		t.slowSince = time.Time{}
+		return false
 	}
-	t.slowdown += slowdownWeight * (sample - t.slowdown)
+	t.slowdown = t.currentSlowdown(now) + slowdownWeight*(sample-t.currentSlowdown(now))
+	switch {
+	case sample <= slowThreshold:
+		t.slowSince = time.Time{}
+	case t.slowSince.IsZero() || now.Sub(t.lastObservedAt) > maxSlowGap:
+		t.slowSince = now
+	}
+	paused := now.Sub(t.slowSince) < stalledAfter && responseTime-median < stalledAfter
+	if !wasSlow && paused {
+		t.slowdown = min(t.slowdown, slowThreshold)
+	}
+	return sample > lateSample
+}
+
+// currentSlowdown returns the slowdown. While the last responses were slow but may
+// all have been delayed by one pause, it decays.
+func (t *Target) currentSlowdown(now time.Time) float64 {
+	if t.slowSince.IsZero() || t.slowdown > slowThreshold || t.slowdown <= 1 {
+		return t.slowdown
+	}
+	return 1 + (t.slowdown-1)*math.Exp(-float64(now.Sub(t.lastObservedAt))/float64(suspicionDecayTime))
 }
 
 // recordError records an error response or a refused request.
