exchange, dispatch: a caller's header is encoded once, outcomes that wait are handled together

A profile of 90 sub-requests on one core: 7 % encoding the same header for each shard, 4 % copying response headers that a merged answer doesn't have, and after each of the outcomes a pass over all parts and a timer. Ruled out: routing and merging (under 4 % each).

--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,6 +26,10 @@
 // be closing an idle connection at the moment at which the request is sent.
 const maxIdleForNonIdempotent = time.Second
 
+// requestLineBytes is the usual size of the request line and the fields that
+// encodeRequest sets, without the URI. Longer ones are encoded all the same.
+const requestLineBytes = 256
+
 // Sender sends requests to targets over pooled connections.
 type Sender struct {
 	pool  *upstream.Pool
@@ -80,26 +85,40 @@
 // http.Transport, which could send them a second time.
 func (n HeaderNames) encodeRequest(a relay.Attempt, now time.Time) []byte {
 	r := a.Request()
-	var out bytes.Buffer
-	out.WriteString(r.Method())
-	out.WriteByte(' ')
-	out.WriteString(r.URI())
-	out.WriteString(" HTTP/1.1\r\nHost: ")
-	out.WriteString(r.Host())
-	out.WriteString("\r\n")
-	remainingMillis := max(1, a.Deadline().Sub(now).Milliseconds())
-	addedHeader := http.Header{
-		n.request:  {r.ID()},
-		n.deadline: {strconv.FormatInt(remainingMillis, 10)},
-		n.target:   {a.Instance().ID()},
-	}
+	header := r.WireHeader(n.encodeHeader)
+	out := make([]byte, 0, requestLineBytes+len(r.URI())+len(header)+len(r.Body()))
+	out = append(out, r.Method()...)
+	out = append(out, ' ')
+	out = append(out, r.URI()...)
+	out = append(out, " HTTP/1.1\r\n"...)
+	out = appendField(out, "Host", r.Host())
+	out = appendField(out, n.request, r.ID())
+	out = appendField(out, n.deadline, strconv.FormatInt(max(1, a.Deadline().Sub(now).Milliseconds()), 10))
+	out = appendField(out, n.target, a.Instance().ID())
 	if len(r.Body()) > 0 || r.Method() != http.MethodGet && r.Method() != http.MethodHead {
-		addedHeader["Content-Length"] = []string{strconv.Itoa(len(r.Body()))}
+		out = appendField(out, "Content-Length", strconv.Itoa(len(r.Body())))
 	}
+	out = append(out, header...)
+	out = append(out, "\r\n"...)
+	return append(out, r.Body()...)
+}
+
+// encodeHeader returns the fields of a caller's header that targets receive, without
+// those that encodeRequest sets.
+func (n HeaderNames) encodeHeader(h http.Header) []byte {
+	var out bytes.Buffer
 	// Writes to a bytes.Buffer never fail.
-	_ = addedHeader.Write(&out)
-	_ = r.Header().WriteSubset(&out, map[string]bool{n.request: true, n.deadline: true, n.target: true})
-	out.WriteString("\r\n")
-	out.Write(r.Body())
+	_ = h.WriteSubset(&out, map[string]bool{n.request: true, n.deadline: true, n.target: true})
 	return out.Bytes()
 }
+
+// lineBreaks replaces the characters that would end a header field.
+var lineBreaks = strings.NewReplacer("\r", " ", "\n", " ")
+
+// appendField appends a header field.
+func appendField(out []byte, name, value string) []byte {
+	out = append(out, name...)
+	out = append(out, ": "...)
+	out = append(out, lineBreaks.Replace(value)...)
+	return append(out, "\r\n"...)
+}
--- a/core/connection/exchange/response.go
+++ b/core/connection/exchange/response.go
@@ -89,7 +89,12 @@
 		x.finish(false)
 		return relay.NewLost(result.Wrap(err, result.Unreachable, "the response body broke off"))
 	}
-	outcome, reuse := x.names.classify(res, body, x.attempt.Request().ID())
+	var header http.Header
+	if !x.attempt.NeedsWholeResponse() {
+		// Only a response that may be passed on needs its header.
+		header = EndToEnd(res.Header)
+	}
+	outcome, reuse := x.names.classify(res, header, body, x.attempt.Request().ID())
 	answered, ok := outcome.(relay.Answered)
 	switch {
 	case int64(len(body)) <= limit:
@@ -132,8 +137,9 @@
 
 // classify classifies a response to the request with the given id. The outcome
 // is Answered, Declined or Lost; the second result reports whether the
-// connection may be reused.
-func (n HeaderNames) classify(res *http.Response, body []byte, id string) (relay.Outcome, bool) {
+// connection may be reused. The header is the part of the response's header that an
+// Answered outcome keeps.
+func (n HeaderNames) classify(res *http.Response, header http.Header, body []byte, id string) (relay.Outcome, bool) {
 	load := parseLoad(res.Header.Get(n.load))
 	// A response with another id, or without one, may be a surplus response to
 	// an earlier request on this connection.
@@ -155,7 +161,7 @@
 	if signature == "" && res.StatusCode < 300 {
 		return relay.NewLost(result.New(result.FrameMalformed, "success status without a signature header")), false
 	}
-	return relay.NewAnswered(relay.NewResponse(res.StatusCode, EndToEnd(res.Header), body, signature), load), true
+	return relay.NewAnswered(relay.NewResponse(res.StatusCode, header, body, signature), load), true
 }
 
 // impliesNotRun reports whether clients take a status to mean that their
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -54,6 +54,7 @@
 		case o := <-q.outcomes:
 			now = time.Now()
 			q.handleOutcome(o, now)
+			q.handleWaiting(now)
 		case <-timer.C:
 			now = time.Now()
 		case <-ctx.Done():
@@ -148,6 +149,19 @@
 	q.outcomes <- o
 }
 
+// handleWaiting handles the outcomes that have arrived meanwhile, so that what follows
+// an outcome is done once for all of them.
+func (q *query) handleWaiting(now time.Time) {
+	for {
+		select {
+		case o := <-q.outcomes:
+			q.handleOutcome(o, now)
+		default:
+			return
+		}
+	}
+}
+
 // discard closes the response of an outcome that is not used.
 func (o partOutcome) discard() {
 	if answered, ok := o.outcome.(relay.Answered); ok {
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -7,6 +7,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,10 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
+
+	// wireHeader is the result of WireHeader.
+	wireHeaderOnce sync.Once
+	wireHeader     []byte
 }
 
 // NewRequest returns a request that arrived at the given time. The path selects
@@ -56,6 +61,13 @@
 // Header returns the header that is passed on to targets.
 func (r *Request) Header() http.Header { return r.header }
 
+// WireHeader returns the header as it is written to targets. It is encoded once, by
+// the first call, since a request to many shards is written to each of them.
+func (r *Request) WireHeader(encode func(http.Header) []byte) []byte {
+	r.wireHeaderOnce.Do(func() { r.wireHeader = encode(r.header) })
+	return r.wireHeader
+}
+
 // Body returns the complete body.
 func (r *Request) Body() []byte { return r.body }
 
