dispatch: a response is awaited from when the request is sent, not from when the query arrived

Cause: response times, the time after which a response is overdue and the time of a hedge were counted from the arrival of the query. A VM of 0.192 cores needs 20 ms or more until it has sent 90 sub-requests, so its own delay looked like that of the targets: the median rose, and hedges were sent to targets that had had the request for a few milliseconds, which made the VM busier. Ruled out: the retry budget (the hedges stayed within it).

--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -137,6 +137,7 @@
 		outcomes:   make(chan partOutcome, relay.MaxSends*len(plan.Services())),
 		leases:     make([]chan *placement.Lease, len(plan.Services())),
 		waiters:    make([]*placement.Waiter, len(plan.Services())),
+		latest:     make([]*subRequest, len(plan.Services())),
 		trace:      &trace,
 	}
 	q.run(ctx)
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -9,8 +9,13 @@
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
 )
 
-// maxLoggedMissing bounds the number of missing services named in the log.
-const maxLoggedMissing = 8
+const (
+	// maxLoggedMissing bounds the number of missing services named in the log.
+	maxLoggedMissing = 8
+	// minHedgePostponement is the least time after which a postponed hedge is
+	// considered again, so that one that is not yet sent is not checked in a loop.
+	minHedgePostponement = time.Millisecond
+)
 
 // query is a request that is being answered. It has one part for each service
 // of its plan. Attempts run on goroutines of their own; of the query's mutable
@@ -24,7 +29,9 @@
 	// queued. waiters has the queue entry of each part, nil if it is not queued.
 	leases  []chan *placement.Lease
 	waiters []*placement.Waiter
-	trace   *Trace
+	// latest has the latest attempt for each part, nil before the first.
+	latest []*subRequest
+	trace  *Trace
 
 	// cancelMu guards cancels, the cancel functions of all attempts, and
 	// finished.
@@ -120,6 +127,7 @@
 		attempt = attempt.WithWholeResponse()
 	}
 	s := &subRequest{query: q, part: n, lease: lease, cancel: cancel, attempt: attempt}
+	q.latest[n] = s
 	go s.run(ctx)
 }
 
@@ -218,9 +226,14 @@
 }
 
 // sendDue sends hedges for overdue parts, and sends the queued parts that have
-// been given a lease.
+// been given a lease. A hedge is postponed by the time that passed before the attempt
+// was sent.
 func (q *query) sendDue(now time.Time) {
 	for _, n := range q.state.DueHedges(now) {
+		if remaining := q.overdueAfter(n) - q.latest[n].waitedSince(now); remaining > 0 {
+			q.state.PostponeHedge(n, now.Add(max(remaining, minHedgePostponement)))
+			continue
+		}
 		r := q.leaseRequest(n).ExtraAttempt(q.state.Tried(n), false)
 		if lease, ok := q.dispatcher.fleet.Acquire(r, now); ok {
 			q.trace.hedges++
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -165,6 +165,17 @@
 	return l.overdueAfter, l.known()
 }
 
+// Sent records that the request is being sent now. The time that this VM needed since
+// it chose the target is not part of the target's response time.
+func (l *Lease) Sent(now time.Time) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	if !l.overdueAt.IsZero() {
+		l.overdueAt = l.overdueAt.Add(now.Sub(l.sentAt))
+	}
+	l.sentAt = now
+}
+
 // release removes the request from those in flight and serves the queue. The
 // caller holds l.fleet.mu.
 func (l *Lease) release(now time.Time) {
--- a/core/request/relay/state.go
+++ b/core/request/relay/state.go
@@ -270,6 +270,14 @@
 	return out
 }
 
+// PostponeHedge records that a hedge of a part that DueHedges returned is due at a later
+// time instead.
+func (s *State) PostponeHedge(n int, at time.Time) {
+	if !s.parts[n].settled {
+		s.parts[n].hedgeAt = at
+	}
+}
+
 // Done reports whether the answer can be returned. That is the case when all
 // parts are settled, too few parts can still succeed, the end of the plan has
 // come, partial answers are due and enough parts have succeeded, or the request
