gateway: connections to the preferred target of each service are opened ahead

Later, a VM without a request for 7.5 s, three quarters of the leafs' idle timeout of 10 s, opens all of them anew. Change: for 30 s after the start and after each request, a VM without a running request opens the connections that are missing to the target it prefers of each service, one after the other. Not where the VMs, with the margin for those that start, would need more than three quarters of the targets' limit, twice that in the first 10 s. Until a target states its idle timeout, a connection takes that which another stated last.

--- a/core/connection/upstream/upstream.go
+++ b/core/connection/upstream/upstream.go
@@ -86,6 +86,7 @@
 // open. This side uses the connection for idleFraction of that time only.
 func (c *Conn) SetTargetIdleTimeout(d time.Duration) {
 	c.idleTimeout = time.Duration(idleFraction * float64(d))
+	c.pool.lastIdleTimeout.Store(int64(c.idleTimeout))
 }
 
 // SetMaxIdle sets the longest time for which this side keeps the connection
@@ -155,6 +156,10 @@
 type Pool struct {
 	dials atomic.Int64
 	open  atomic.Int64
+	// lastIdleTimeout is the idle timeout of the connection whose target stated one
+	// last, in nanoseconds, 0 if none did. New connections have it until their own
+	// target states one.
+	lastIdleTimeout atomic.Int64
 
 	mu              sync.Mutex
 	idle            map[string][]*Conn
@@ -213,8 +218,32 @@
 	p.mu.Lock()
 	delete(p.closedAddresses, address)
 	p.mu.Unlock()
+	idleTimeout := defaultIdleTimeout
+	if last := p.lastIdleTimeout.Load(); last > 0 {
+		idleTimeout = time.Duration(last)
+	}
 	input := &limitedInput{conn: conn, remaining: -1}
-	return &Conn{Conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), pool: p, address: address, idleTimeout: defaultIdleTimeout}, nil
+	return &Conn{Conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), pool: p, address: address, idleTimeout: idleTimeout}, nil
+}
+
+// Warm opens a connection to an address, unless the pool has one, and keeps it idle. The
+// first request to the address then needs no time to connect.
+func (p *Pool) Warm(ctx context.Context, address string, now time.Time) error {
+	p.mu.Lock()
+	warm := len(p.idle[address]) > 0
+	p.mu.Unlock()
+	if warm {
+		return nil
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.lastUsed = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[address] = append([]*Conn{c}, p.idle[address]...)
+	return nil
 }
 
 // CloseAddresses closes the idle connections to addresses that are no longer
--- a/core/connection/upstream/upstream_test.go
+++ b/core/connection/upstream/upstream_test.go
@@ -116,3 +116,30 @@
 	assert.Equal(t, p.OpenConnections(), int64(0))
 	assert.Assert(t, get(t, p, s, 0, now) != idle)
 }
+
+// A connection that was opened ahead serves the first request, is opened once only, and
+// expires like any other.
+func TestWarmOpensOneConnectionAhead(t *testing.T) {
+	s := newServer(t)
+	p := upstream.NewPool()
+	address := s.socket.Addr().String()
+	now := time.Now()
+	for range 3 {
+		assert.NilError(t, p.Warm(t.Context(), address, now))
+	}
+	assert.Equal(t, p.Dials(), int64(1))
+	c := get(t, p, s, 0, now.Add(time.Second))
+	assert.Equal(t, p.Dials(), int64(1))
+	c.SetTargetIdleTimeout(10 * time.Second)
+	c.Release(now.Add(time.Second))
+	c = get(t, p, s, 0, now.Add(10*time.Second))
+	assert.Equal(t, p.Dials(), int64(2), "a connection was used after its idle timeout")
+	c.Discard()
+	// New connections have the idle timeout that a target stated last.
+	assert.NilError(t, p.Warm(t.Context(), address, now))
+	get(t, p, s, 0, now.Add(8*time.Second)).Discard()
+	assert.Equal(t, p.Dials(), int64(4))
+	_ = s.socket.Close()
+	assert.Assert(t, p.Warm(t.Context(), address, now) != nil)
+	assert.Equal(t, p.OpenConnections(), int64(0))
+}
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -58,6 +58,9 @@
 	table  atomic.Pointer[routing.Table]
 	// running counts the requests that are not answered yet.
 	running atomic.Int64
+	// lastArrival is when the latest request arrived, in nanoseconds since the Unix
+	// epoch, 0 before the first.
+	lastArrival atomic.Int64
 }
 
 // New returns a dispatcher without a routing table.
@@ -77,6 +80,15 @@
 // Running returns the number of requests that are not answered yet.
 func (d *Dispatcher) Running() int64 { return d.running.Load() }
 
+// LastArrival returns when the latest request arrived, or the zero time before the first.
+func (d *Dispatcher) LastArrival() time.Time {
+	at := d.lastArrival.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
+
 // Trace describes how a request was answered, for the log.
 type Trace struct {
 	version uint64
@@ -112,6 +124,7 @@
 func (d *Dispatcher) Answer(ctx context.Context, req *relay.Request) (relay.Answer, Trace) {
 	d.running.Add(1)
 	defer d.running.Add(-1)
+	d.lastArrival.Store(req.Arrived().UnixNano())
 	table := d.table.Load()
 	if table == nil {
 		return relay.NewRefused(result.NoConfiguration, "this VM has no routes yet").WithRetryAfter(retryAfter(defaultRetryAfter, req)), Trace{}
--- a/core/process/placement/connections.go
+++ b/core/process/placement/connections.go
@@ -49,11 +49,17 @@
 	if declared.MaxConnections() <= 0 {
 		return unlimitedShare
 	}
+	return max(1, declared.MaxConnections()/(int(f.sharingVMs(now))+1))
+}
+
+// sharingVMs returns the number of VMs with which this VM assumes to share the
+// connections of each target. The caller holds f.mu.
+func (f *Fleet) sharingVMs(now time.Time) float64 {
 	vms := float64(f.entryVMs) * vmCountMargin
 	if now.Sub(f.startedAt) < staleConnectionPeriod {
 		vms *= 2
 	}
-	return max(1, declared.MaxConnections()/(int(vms)+1))
+	return vms
 }
 
 // preferredRemote returns the remote target that this VM prefers if the service
