dispatch: replays with 300 VMs that share what they observe

The slack of the retry budget grows with the VMs in them, 2.1 for each, as in the deployments of that size.

--- a/core/process/dispatch/replay_test.go
+++ b/core/process/dispatch/replay_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/health"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -31,6 +32,8 @@
 	maxTargetQueue  = 12
 	pauseDuration   = 120 * time.Millisecond
 	pauseInterval   = 3 * time.Second
+	// slackPerVM is the slack of the retry budget for each VM of a large installation.
+	slackPerVM = 2.1
 )
 
 // fault describes what is wrong with the affected targets, from one second
@@ -53,6 +56,9 @@
 	// from all VMs together, 0 for the default of replayServices. The simulated
 	// targets do not enforce it.
 	maxConnections int
+	// vms is the number of VMs, 0 for 3. With more than 3 they share what they
+	// observe, as a control VM does it for them.
+	vms int
 	// callerRetries is how many times a caller immediately repeats a refused
 	// request.
 	callerRetries int
@@ -266,18 +272,50 @@
 	c.stats.add(answer, trace, time.Since(startedAt))
 }
 
+// exchangeInterval is the time between two exchanges of what the VMs observed, which is
+// the interval of presences.
+const exchangeInterval = 400 * time.Millisecond
+
+// findingExchange passes what each VM observed to all of them until a replay ends.
+type findingExchange struct{ fleets []*placement.Fleet }
+
+func (x *findingExchange) run() {
+	table := health.NewTable()
+	for startedAt := time.Now(); time.Since(startedAt) < replayDuration; {
+		time.Sleep(exchangeInterval)
+		now := time.Now()
+		for _, f := range x.fleets {
+			table.AddFindings(f.Findings(now), now)
+			table.AddLate(f.LateResponses(now), now)
+		}
+		// The verdicts leave with the next presence of the control VM.
+		time.Sleep(exchangeInterval / 2)
+		now = time.Now()
+		verdicts := table.Verdicts(now)
+		for _, f := range x.fleets {
+			f.TakeFindings(verdicts, now)
+		}
+	}
+}
+
 // newEntryVMs returns an answerFunc that distributes requests round-robin over
-// n dispatchers, which share no information.
-func newEntryVMs(n int, c *simCluster, list discovery.List, maxConnections int) answerFunc {
+// the VMs of a fault.
+func newEntryVMs(c *simCluster, list discovery.List, setup fault) answerFunc {
+	n := max(3, setup.vms)
+	x := &findingExchange{}
 	var dispatchers []*Dispatcher
-	table := routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(maxConnections), routing.Limits{})
+	table := routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(setup.maxConnections), routing.Limits{})
 	for range n {
-		f := placement.NewFleet(fmt.Sprintf("vm-%d", len(dispatchers)), "dc-1", placement.NewLimits(0.2, 20, 10*time.Second, 1.5, 5), time.Now().Add(-time.Minute))
+		f := placement.NewFleet(fmt.Sprintf("vm-%d", len(dispatchers)), "dc-1", placement.NewLimits(0.2, max(20, slackPerVM*float64(setup.vms)), 10*time.Second, 1.5, 5), time.Now().Add(-time.Minute))
 		f.SetEntryVMs(n, time.Now())
 		d := New(f, c)
 		d.SetTable(table)
 		f.SetTargets(list, time.Now())
 		dispatchers = append(dispatchers, d)
+		x.fleets = append(x.fleets, f)
+	}
+	if n > 3 {
+		go x.run()
 	}
 	var mu sync.Mutex
 	next := 0
@@ -358,6 +396,8 @@
 	{"one of three targets of each shard refuses connections", 150, fault{affectedPerShard: 1, refusesConnections: true}, 0.90, 0.30},
 	{"one of three targets of each shard hangs", 150, fault{affectedPerShard: 1, hangs: true}, 0.85, 0.30},
 	{"half of the targets shed 60 %", 150, fault{affectedShare: 0.5, shedRate: 0.6}, 0.70, 0.20},
+	{"300 VMs, calm, with pauses", 120, fault{vms: 300, maxConnections: 195}, 0.97, 0.15},
+	{"300 VMs, 15 % of the targets 8 times as slow", 120, fault{vms: 300, maxConnections: 195, affectedShare: 0.15, slowFactor: 8}, 0.90, 0.25},
 	{"twice the load", 480, fault{}, 0.40, 0.10},
 }
 
@@ -368,7 +408,7 @@
 			var measured, baseline *replayStats
 			synctest.Test(t, func(*testing.T) {
 				c, list := newSimCluster(seed, tt.fault)
-				measured = runLoad(tt.rate, tt.fault.callerRetries, seed, newEntryVMs(3, c, list, tt.fault.maxConnections))
+				measured = runLoad(tt.rate, tt.fault.callerRetries, seed, newEntryVMs(c, list, tt.fault))
 			})
 			synctest.Test(t, func(*testing.T) {
 				c, _ := newSimCluster(seed, tt.fault)
