upstream: the access to a connection's descriptor is obtained once

Cause: each look whether an idle connection has received anything made a new RawConn, 3 % of the processor time of a query over 90 shards by its profile.

--- a/core/connection/upstream/upstream.go
+++ b/core/connection/upstream/upstream.go
@@ -57,6 +57,8 @@
 // Conn is a connection to a target.
 type Conn struct {
 	net.Conn
+	// raw gives access to the file descriptor, nil if there is none.
+	raw     syscall.RawConn
 	input   *limitedInput
 	reader  *bufio.Reader
 	pool    *Pool
@@ -133,16 +135,11 @@
 // nothing: no byte, no end of the stream and no reset. Connections without a
 // file descriptor are not checked, and the result is true.
 func (c *Conn) inputEmpty() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
 	empty := false
-	err = rc.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		empty = err == syscall.EAGAIN
@@ -213,6 +210,12 @@
 	if err != nil {
 		return nil, err
 	}
+	var raw syscall.RawConn
+	if c, ok := conn.(syscall.Conn); ok {
+		if raw, err = c.SyscallConn(); err != nil {
+			return nil, errors.CombineErrors(err, conn.Close())
+		}
+	}
 	p.dials.Add(1)
 	p.open.Add(1)
 	p.mu.Lock()
@@ -223,7 +226,7 @@
 		idleTimeout = time.Duration(last)
 	}
 	input := &limitedInput{conn: conn, remaining: -1}
-	return &Conn{Conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), pool: p, address: address, idleTimeout: idleTimeout}, nil
+	return &Conn{Conn: conn, raw: raw, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), pool: p, address: address, idleTimeout: idleTimeout}, nil
 }
 
 // Warm opens a connection to an address, unless the pool has one, and keeps it idle. The
