cluster: a control VM sends a changed set of unhealthy targets at once

Change: a control VM compares the set of unhealthy targets every 100 ms and sends its findings when it differs. A late response that arrives out of order is judged too.

--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -125,6 +125,9 @@
 	// health holds what the entry VMs observed of the targets. It is used on
 	// control VMs only.
 	health *health.Table
+	// sentUnhealthy has the ids of the targets that were unhealthy in the findings that
+	// this control VM sent last.
+	sentUnhealthy map[string]bool
 	// dataCentreSeen is when the last presence came from each data centre.
 	dataCentreSeen map[string]time.Time
 }
@@ -174,7 +177,10 @@
 		go (&publishLoop{cluster: c}).run(ctx)
 	}
 	go (&readLoop{cluster: c}).run(ctx)
-	if c.control == nil && c.findingSource != nil {
+	switch {
+	case c.control != nil:
+		go (&findingsLoop{cluster: c}).run(ctx)
+	case c.findingSource != nil:
 		go (&lateLoop{cluster: c}).run(ctx)
 	}
 	c.presenceLoop(ctx)
--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -126,6 +126,7 @@
 	folder   string
 	cluster  *cluster.Cluster
 	observer *recordingObserver
+	findings *fakeFindings
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -204,7 +205,7 @@
 // false if the installation has been started before.
 func (in *installation) start(name, folder string, firstStart bool) *process {
 	in.t.Helper()
-	p := &process{name: name, folder: folder, observer: &recordingObserver{}, done: make(chan struct{})}
+	p := &process{name: name, folder: folder, observer: &recordingObserver{}, findings: &fakeFindings{unhealthyAt: make(map[string]time.Time)}, done: make(chan struct{})}
 	socket := in.sockets[name]
 	if socket != nil {
 		p.address = socket.Addr().String()
@@ -217,6 +218,8 @@
 	p.cluster = cluster.New(identity, in.seeds, reader, p.observer, zap.NewNop())
 	if folder != "" {
 		assert.NilError(in.t, p.cluster.EnableControl(folder, 3, time.Now()))
+	} else {
+		p.cluster.SetFindingSource(p.findings)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
--- a/core/process/cluster/findings.go
+++ b/core/process/cluster/findings.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 )
 
-// lateInterval is the time between two messages of an entry VM with late responses.
-const lateInterval = 100 * time.Millisecond
+const (
+	// lateInterval is the time between two messages of an entry VM with late responses.
+	lateInterval = 100 * time.Millisecond
+	// findingsInterval is the time between two checks of a control VM whether another
+	// set of targets is unhealthy, which it sends without waiting for the next presence.
+	findingsInterval = 100 * time.Millisecond
+)
 
 // FindingSource is the part of an entry VM that holds findings on the health of
 // targets. Findings returns those from recent requests of this VM and LateResponses
@@ -79,6 +85,53 @@
 	}
 }
 
+// findingsLoop sends the findings of a control VM as soon as they change.
+type findingsLoop struct{ cluster *Cluster }
+
+func (l *findingsLoop) run(ctx context.Context) {
+	ticker := time.NewTicker(findingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			l.cluster.sendChangedFindings(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sendChangedFindings sends the findings to the VMs that get them if the set of unhealthy
+// targets has changed since they were last sent.
+func (c *Cluster) sendChangedFindings(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	verdicts := c.health.Verdicts(now)
+	unhealthy := unhealthyIDs(verdicts)
+	if maps.Equal(unhealthy, c.sentUnhealthy) {
+		return
+	}
+	c.sentUnhealthy = unhealthy
+	payload := peer.Encode(c.presence(now).WithFindings(verdicts))
+	for s, r := range c.sessions {
+		// The presence refers to the target list, whose changes are sent first.
+		if r.identified && c.sharesFindingsWith(r) && c.sendList(s, r, now) {
+			s.Send(payload)
+		}
+	}
+}
+
+// unhealthyIDs returns the ids of the targets that are unhealthy.
+func unhealthyIDs(findings []discovery.HealthFinding) map[string]bool {
+	ids := make(map[string]bool)
+	for _, f := range findings {
+		if f.Unhealthy() {
+			ids[f.ID()] = true
+		}
+	}
+	return ids
+}
+
 // sharesFindingsWith reports whether this control VM sends findings to a peer.
 // The leader sends them to all entry VMs; other control VMs only to those of
 // their own data centre, which may be partitioned from the leader.
--- a/core/process/cluster/presence.go
+++ b/core/process/cluster/presence.go
@@ -41,8 +41,10 @@
 		return
 	}
 	p := c.presence(now)
+	verdicts := c.health.Verdicts(now)
+	c.sentUnhealthy = unhealthyIDs(verdicts)
 	withoutFindings := peer.Encode(p)
-	withFindings := peer.Encode(p.WithFindings(c.health.Verdicts(now)))
+	withFindings := peer.Encode(p.WithFindings(verdicts))
 	for s, r := range c.sessions {
 		if r.identified && !c.sendList(s, r, now) {
 			continue
--- a/core/process/health/late.go
+++ b/core/process/health/late.go
@@ -53,12 +53,11 @@
 		l.slots = l.slots<<-age | 1
 		l.latest = slot
 	}
-	if !at.After(l.lastAt) {
-		return
+	if at.After(l.lastAt) {
+		l.lastAt = at
 	}
-	l.lastAt = at
 	if l.showSlow(interval) {
-		l.conclusiveAt = at
+		l.conclusiveAt = l.lastAt
 	}
 }
 
