cluster: a presence that says nothing new is sent in short

Each of 295 entry VMs and the five control VMs send each other a presence of 200 to 250 bytes every 0.4 s; only the number and age of the target list change in most. Change: a message of less than 32 bytes stands for a presence that is as the last on the session and has no findings. Entry VMs send it, and control VMs to those that did, since earlier versions close the session at it: control VMs are upgraded first. Ruled out: a longer interval (a data centre counts as unreachable after 0.9 s).

--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -19,6 +19,7 @@
 	wireReadRoutes
 	wireTargetList
 	wireLateResponses
+	wireUnchanged
 )
 
 // Encode encodes a message as the payload of a frame.
@@ -67,6 +68,10 @@
 	case LateResponses:
 		enc.Uint(wireLateResponses)
 		encodeLateResponses(enc, m)
+	case Unchanged:
+		enc.Uint(wireUnchanged)
+		enc.Uint(m.listSequenceNumber)
+		enc.Duration(m.listAge)
 	}
 	return enc.Payload()
 }
@@ -101,6 +106,8 @@
 		out = decodeTargetList(dec)
 	case wireLateResponses:
 		out = decodeLateResponses(dec)
+	case wireUnchanged:
+		out = Unchanged{listSequenceNumber: dec.Uint(), listAge: dec.Duration()}
 	default:
 		dec.Fail("unknown message kind")
 	}
--- a/core/connection/peer/message.go
+++ b/core/connection/peer/message.go
@@ -8,7 +8,8 @@
 
 // Message is a message between processes: Hello, Heartbeat, ReplicaMessage,
 // ConfigurationPush, ForwardedCommand, Reply, TargetUpdates, Presence,
-// PublishedRoutes, ReadRoutes, TargetList or LateResponses.
+// PublishedRoutes, ReadRoutes, TargetList, LateResponses or
+// Unchanged.
 type Message interface{ message() }
 
 // Hello identifies the sender; it is the first message of each connection of
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -35,6 +35,7 @@
 		discovery.NewInstance("i-1", "s-1", "10.0.0.9:8", "dc-1", 2).WithLeaving(true).WithColdFor(time.Second),
 	}, []string{"i-2"})),
 	peer.NewLateResponses([]discovery.LateResponse{discovery.NewLateResponse("i-1", time.Second, 25*time.Millisecond)}),
+	peer.NewUnchanged(4, time.Second),
 }
 
 func TestMessageRoundTrip(t *testing.T) {
--- a/core/connection/peer/presence.go
+++ b/core/connection/peer/presence.go
@@ -131,6 +131,23 @@
 // Number returns the number that the reply repeats.
 func (r ReadRoutes) Number() uint64 { return r.number }
 
+// Unchanged takes the place of a presence that differs from the last one on the same
+// session only in the target list's sequence number and age, and has no findings. Most
+// presences do, and they are most of the bytes between data centres that control takes.
+type Unchanged struct {
+	listSequenceNumber uint64
+	listAge            time.Duration
+}
+
+// NewUnchanged returns a message with the sequence number and age of the sender's target
+// list, 0 if it has none.
+func NewUnchanged(number uint64, age time.Duration) Unchanged {
+	return Unchanged{listSequenceNumber: number, listAge: age}
+}
+
+// List returns the sequence number and age of the sender's target list.
+func (u Unchanged) List() (number uint64, age time.Duration) { return u.listSequenceNumber, u.listAge }
+
 // LateResponses carries the late responses that an entry VM received since its last
 // message of this kind, to a control VM.
 type LateResponses struct{ list []discovery.LateResponse }
@@ -176,3 +193,4 @@
 func (ReadRoutes) message()      {}
 func (TargetList) message()      {}
 func (LateResponses) message()   {}
+func (Unchanged) message()       {}
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -74,6 +74,11 @@
 	// sentOnce is true once one was sent.
 	sentList discovery.List
 	sentOnce bool
+	// sentPresence identifies the presence that was last sent on this session.
+	sentPresence string
+	// understandsUnchanged is true once the peer has sent a message of this kind.
+	// Earlier versions close the session at one.
+	understandsUnchanged bool
 	// missingRevision is the revision of this process's routes when a presence of the
 	// peer last showed an older one, and 0 if none did or the routes were sent since.
 	missingRevision uint64
--- a/core/process/cluster/findings.go
+++ b/core/process/cluster/findings.go
@@ -112,11 +112,11 @@
 		return
 	}
 	c.sentUnhealthy = unhealthy
-	payload := peer.Encode(c.presence(now).WithFindings(verdicts))
+	o := newOutgoingPresence(c.presence(now).WithFindings(verdicts))
 	for s, r := range c.sessions {
 		// The presence refers to the target list, whose changes are sent first.
 		if r.identified && c.sharesFindingsWith(r) && c.sendList(s, r, now) {
-			s.Send(payload)
+			o.send(s, r, false)
 		}
 	}
 }
--- a/core/process/cluster/presence.go
+++ b/core/process/cluster/presence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/connection/session"
 )
 
 // presence returns the presence of this process, without findings. The caller
@@ -43,16 +44,16 @@
 	p := c.presence(now)
 	verdicts := c.health.Verdicts(now)
 	c.sentUnhealthy = unhealthyIDs(verdicts)
-	withoutFindings := peer.Encode(p)
-	withFindings := peer.Encode(p.WithFindings(verdicts))
+	withoutFindings := newOutgoingPresence(p)
+	withFindings := newOutgoingPresence(p.WithFindings(verdicts))
 	for s, r := range c.sessions {
 		if r.identified && !c.sendList(s, r, now) {
 			continue
 		}
 		if r.identified && c.sharesFindingsWith(r) {
-			s.Send(withFindings)
+			withFindings.send(s, r, r.understandsUnchanged)
 		} else {
-			s.Send(withoutFindings)
+			withoutFindings.send(s, r, r.understandsUnchanged)
 		}
 	}
 }
@@ -64,8 +65,39 @@
 	if c.findingSource != nil {
 		p = p.WithFindings(c.findingSource.Findings(now))
 	}
-	payload := peer.Encode(p)
-	for s := range c.sessions {
-		s.Send(payload)
+	o := newOutgoingPresence(p)
+	for s, r := range c.sessions {
+		o.send(s, r, true)
+	}
+}
+
+// outgoingPresence is an encoded presence.
+type outgoingPresence struct {
+	// identity is equal for two presences between which Unchanged is enough.
+	identity    string
+	hasFindings bool
+	full        []byte
+	unchanged   []byte
+}
+
+// newOutgoingPresence encodes a presence.
+func newOutgoingPresence(p peer.Presence) outgoingPresence {
+	return outgoingPresence{
+		identity:    string(peer.Encode(p.WithList(0, 0).WithFindings(nil))),
+		hasFindings: len(p.Findings()) > 0,
+		full:        peer.Encode(p),
+		unchanged:   peer.Encode(peer.NewUnchanged(p.List())),
+	}
+}
+
+// send sends the presence on a session, or Unchanged if mayOmit is set and it says all
+// that the peer does not know.
+func (o outgoingPresence) send(s *session.Session, r *peerState, mayOmit bool) {
+	if mayOmit && !o.hasFindings && r.sentPresence == o.identity {
+		s.Send(o.unchanged)
+		return
+	}
+	if s.Send(o.full) {
+		r.sentPresence = o.identity
 	}
 }
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -17,8 +17,9 @@
 func (c *Cluster) Opened(s *session.Session, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sessions[s] = &peerState{}
-	s.Send(peer.Encode(c.presence(now)))
+	r := &peerState{}
+	c.sessions[s] = r
+	newOutgoingPresence(c.presence(now)).send(s, r, false)
 }
 
 // Closed removes a session.
@@ -47,6 +48,8 @@
 		c.deliverToReplica(m)
 	case peer.PublishedRoutes:
 		c.adoptRoutes(m.Routes(), now)
+	case peer.Unchanged:
+		c.receiveUnchanged(s, m, now)
 	case peer.LateResponses:
 		c.receiveLate(m, now)
 	case peer.TargetList:
@@ -109,6 +112,21 @@
 	}
 }
 
+// receiveUnchanged processes the last presence of a peer once more, with another target
+// list number and age.
+func (c *Cluster) receiveUnchanged(s *session.Session, u peer.Unchanged, now time.Time) {
+	c.mu.Lock()
+	r := c.sessions[s]
+	if r == nil || !r.identified {
+		c.mu.Unlock()
+		return
+	}
+	r.understandsUnchanged = true
+	p := r.presence.WithList(u.List()).WithFindings(nil)
+	c.mu.Unlock()
+	c.receivePresence(s, p, now)
+}
+
 // sendUpdates sends a peer the routes, if the peer has older ones, and the changes of
 // the target list. It does nothing on an entry VM. The leader publishes new routes as
 // soon as they are accepted, so they are sent here only after the first presence on
--- /dev/null
+++ b/core/process/cluster/unchanged_test.go
@@ -0,0 +1,82 @@
+package cluster_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/frame"
+	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/process/cluster"
+)
+
+// A control VM repeats its presence in short to an entry VM that does so itself, and only
+// to such a one: an earlier version closes the session at a message that it does not know.
+func TestUnchangedPresencesAreShort(t *testing.T) {
+	for _, understands := range []bool{false, true} {
+		in := newInstallation(t, 3, 1)
+		in.publish("control-0", 1)
+		in.waitForVersion(1)
+		conn, err := net.Dial("tcp", in.processes["control-0"].address)
+		assert.NilError(t, err)
+		defer conn.Close()
+		presence := peer.Encode(peer.NewPresence("entry-9", "", "dc-1", "s", 1))
+		repeated := presence
+		if understands {
+			repeated = peer.Encode(peer.NewUnchanged(0, 0))
+		}
+		assert.NilError(t, frame.Write(conn, presence))
+		presences, unchanged := 0, 0
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(4*time.Second)))
+		for presences+unchanged < 6 {
+			payload, err := frame.Read(conn)
+			assert.NilError(t, err)
+			assert.NilError(t, frame.Write(conn, repeated))
+			m, err := peer.Decode(payload)
+			assert.NilError(t, err)
+			switch m.(type) {
+			case peer.Presence:
+				presences++
+			case peer.Unchanged:
+				unchanged++
+				assert.Assert(t, len(payload) < 32, "%d bytes", len(payload))
+			}
+		}
+		assert.Equal(t, unchanged >= 3, understands, "%d presences, %d unchanged", presences, unchanged)
+		if !understands {
+			assert.Equal(t, unchanged, 0)
+		}
+		assert.Assert(t, conn.Close() == nil)
+	}
+}
+
+// What a presence says stays in force while its sender repeats it in short, and a change
+// is sent in full: the VM count, the list and the liveness of the peers.
+func TestUnchangedPresencesKeepPeersAlive(t *testing.T) {
+	in := newInstallation(t, 3, 3)
+	in.publish("control-0", 1)
+	in.waitForVersion(1)
+	time.Sleep(3 * time.Second)
+	now := time.Now()
+	for _, name := range []string{"entry-0", "entry-1", "entry-2"} {
+		c := in.processes[name].cluster
+		assert.Equal(t, c.EntryVMs(now), 3, name)
+		assert.Assert(t, c.ReachableDataCentres(now)["dc-1"], name)
+	}
+	in.processes["entry-2"].stop()
+	delete(in.processes, "entry-2")
+	waitForEntryVMs(t, in.processes["entry-0"].cluster, 2)
+	in.start("entry-3", "", true)
+	in.start("entry-4", "", true)
+	waitForEntryVMs(t, in.processes["entry-0"].cluster, 4)
+}
+
+// waitForEntryVMs waits until a process knows a number of entry VMs.
+func waitForEntryVMs(t *testing.T, c *cluster.Cluster, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); c.EntryVMs(time.Now()) != n; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "%d entry VMs, not %d", c.EntryVMs(time.Now()), n)
+	}
+}
