cluster: each control VM sends findings to its own data centre

Cause: the leader sent the findings to all entry VMs, also to those whose own control VM sends the same, since every entry VM reports to every control VM. Change: the leader sends them only where no other live control VM has a session to it. TestFindingsReachEveryDataCentre covers four data centres, one without a control VM.

--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -149,6 +149,8 @@
 	seeds     []string
 	sockets   map[string]net.Listener
 	processes map[string]*process
+	// dataCentres has the data centres of VMs that are not in dc-1.
+	dataCentres map[string]string
 	// onlyControlVMsRead gives entry VMs that start later a reader that always
 	// fails.
 	onlyControlVMsRead bool
@@ -156,7 +158,12 @@
 
 // newInstallation starts an installation; the first three control VMs are seeds.
 func newInstallation(t *testing.T, controlVMs, entryVMs int) *installation {
-	in := &installation{t: t, list: &fakeTargetList{}, sockets: make(map[string]net.Listener), processes: make(map[string]*process)}
+	return newInstallationIn(t, nil, controlVMs, entryVMs)
+}
+
+// newInstallationIn starts an installation with some VMs in other data centres than dc-1.
+func newInstallationIn(t *testing.T, dataCentres map[string]string, controlVMs, entryVMs int) *installation {
+	in := &installation{t: t, dataCentres: dataCentres, list: &fakeTargetList{}, sockets: make(map[string]net.Listener), processes: make(map[string]*process)}
 	in.list.set("i-1")
 	var names []string
 	for n := range controlVMs {
@@ -210,7 +217,11 @@
 	if socket != nil {
 		p.address = socket.Addr().String()
 	}
-	identity := cluster.NewIdentity(name, p.address, "dc-1", name, firstStart)
+	dataCentre := in.dataCentres[name]
+	if dataCentre == "" {
+		dataCentre = "dc-1"
+	}
+	identity := cluster.NewIdentity(name, p.address, dataCentre, name, firstStart)
 	var reader cluster.ListReader = in.list
 	if folder == "" && in.onlyControlVMsRead {
 		reader = unreachableReader{}
--- a/core/process/cluster/findings.go
+++ b/core/process/cluster/findings.go
@@ -113,9 +113,10 @@
 	}
 	c.sentUnhealthy = unhealthy
 	o := newOutgoingPresence(c.presence(now).WithFindings(verdicts))
+	served := c.servedCentres(now)
 	for s, r := range c.sessions {
 		// The presence refers to the target list, whose changes are sent first.
-		if r.identified && c.sharesFindingsWith(r) && c.sendList(s, r, now) {
+		if r.identified && c.sharesFindingsWith(r, served) && c.sendList(s, r, now) {
 			o.send(s, r, false)
 		}
 	}
@@ -132,12 +133,25 @@
 	return ids
 }
 
-// sharesFindingsWith reports whether this control VM sends findings to a peer.
-// The leader sends them to all entry VMs; other control VMs only to those of
-// their own data centre, which may be partitioned from the leader.
-func (c *Cluster) sharesFindingsWith(r *peerState) bool {
+// sharesFindingsWith reports whether this control VM sends findings to a peer: to the
+// entry VMs of its own data centre and, from the leader, to those of data centres in
+// servedCentres that have no control VM of their own. All entry VMs report to all control
+// VMs, so that each of them knows the same unless it is partitioned from some.
+func (c *Cluster) sharesFindingsWith(r *peerState, servedCentres map[string]bool) bool {
 	if r.presence.Address() != "" {
 		return false
 	}
-	return c.control.Status().Leads() || r.presence.DataCentre() == c.self.dataCentre
+	return r.presence.DataCentre() == c.self.dataCentre || c.control.Status().Leads() && !servedCentres[r.presence.DataCentre()]
+}
+
+// servedCentres returns the data centres from which another live control VM has a
+// session to this one. The caller holds mu.
+func (c *Cluster) servedCentres(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for _, r := range c.sessions {
+		if r.alive(now) && r.presence.Address() != "" {
+			out[r.presence.DataCentre()] = true
+		}
+	}
+	return out
 }
--- a/core/process/cluster/findings_test.go
+++ b/core/process/cluster/findings_test.go
@@ -99,3 +99,26 @@
 	// alone, after up to two more responses.
 	assert.Assert(t, total/rounds < 200*time.Millisecond, "%v in the mean", total/rounds)
 }
+
+// Findings reach the VMs of every data centre: from its own control VM, or from the leader
+// where it has none.
+func TestFindingsReachEveryDataCentre(t *testing.T) {
+	in := newInstallationIn(t, map[string]string{
+		"control-1": "dc-2", "control-2": "dc-3",
+		"entry-1": "dc-2", "entry-2": "dc-3", "entry-3": "dc-4",
+	}, 3, 4)
+	in.publish("control-0", 1)
+	in.waitForVersion(1)
+	for range 8 {
+		in.processes["entry-0"].findings.addLate("i-1")
+		time.Sleep(60 * time.Millisecond)
+	}
+	for _, name := range []string{"entry-0", "entry-1", "entry-2", "entry-3"} {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if in.processes[name].findings.receivedAt("i-1").IsZero() {
+				return poll.Continue("%s has no finding", name)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	}
+}
--- a/core/process/cluster/presence.go
+++ b/core/process/cluster/presence.go
@@ -44,13 +44,14 @@
 	p := c.presence(now)
 	verdicts := c.health.Verdicts(now)
 	c.sentUnhealthy = unhealthyIDs(verdicts)
+	served := c.servedCentres(now)
 	withoutFindings := newOutgoingPresence(p)
 	withFindings := newOutgoingPresence(p.WithFindings(verdicts))
 	for s, r := range c.sessions {
 		if r.identified && !c.sendList(s, r, now) {
 			continue
 		}
-		if r.identified && c.sharesFindingsWith(r) {
+		if r.identified && c.sharesFindingsWith(r, served) {
 			withFindings.send(s, r, r.understandsUnchanged)
 		} else {
 			withoutFindings.send(s, r, r.understandsUnchanged)
