--- a/core/process/cluster/findings.go
+++ b/core/process/cluster/findings.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 )
@@ -107,11 +110,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	verdicts := c.health.Verdicts(now)
-	unhealthy := unhealthyIDs(verdicts)
-	if maps.Equal(unhealthy, c.sentUnhealthy) {
+	if !c.recordUnhealthy(verdicts) {
 		return
 	}
-	c.sentUnhealthy = unhealthy
 	o := newOutgoingPresence(c.presence(now).WithFindings(verdicts))
 	served := c.servedCentres(now)
 	for s, r := range c.sessions {
@@ -122,6 +123,37 @@
 	}
 }
 
+// maxLoggedTargets bounds the ids of targets in one log line.
+const maxLoggedTargets = 8
+
+// recordUnhealthy records which targets are unhealthy in findings that are about to be
+// sent. It reports whether they are others than in those sent before, and logs which. The
+// caller holds mu.
+func (c *Cluster) recordUnhealthy(findings []discovery.HealthFinding) bool {
+	unhealthy := unhealthyIDs(findings)
+	if maps.Equal(unhealthy, c.sentUnhealthy) {
+		return false
+	}
+	added := missingIDs(unhealthy, c.sentUnhealthy)
+	removed := missingIDs(c.sentUnhealthy, unhealthy)
+	c.log.Info("unhealthy targets changed", zap.Int("unhealthy", len(unhealthy)), zap.Int("added", len(added)), zap.Int("removed", len(removed)),
+		zap.Strings("added-ids", added[:min(len(added), maxLoggedTargets)]), zap.Strings("removed-ids", removed[:min(len(removed), maxLoggedTargets)]))
+	c.sentUnhealthy = unhealthy
+	return true
+}
+
+// missingIDs returns the ids of a set that are not in another, sorted.
+func missingIDs(ids, other map[string]bool) []string {
+	var out []string
+	for id := range ids {
+		if !other[id] {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // unhealthyIDs returns the ids of the targets that are unhealthy.
 func unhealthyIDs(findings []discovery.HealthFinding) map[string]bool {
 	ids := make(map[string]bool)
--- a/core/process/cluster/presence.go
+++ b/core/process/cluster/presence.go
@@ -43,7 +43,7 @@
 	}
 	p := c.presence(now)
 	verdicts := c.health.Verdicts(now)
-	c.sentUnhealthy = unhealthyIDs(verdicts)
+	c.recordUnhealthy(verdicts)
 	served := c.servedCentres(now)
 	withoutFindings := newOutgoingPresence(p)
 	withFindings := newOutgoingPresence(p.WithFindings(verdicts))
