--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -69,9 +69,11 @@
 // group holds the targets of one service, with its retry budget, response times
 // and queue. It is guarded by Fleet.mu.
 type group struct {
-	fleet     *Fleet
-	name      string
-	declared  routing.Service
+	fleet    *Fleet
+	name     string
+	declared routing.Service
+	// routed is true while a route of the current table uses the service.
+	routed    bool
 	targets   []*Target
 	budget    retryBudget
 	latencies map[string]*latency
@@ -170,10 +172,14 @@
 func (f *Fleet) SetServices(t *routing.Table) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for _, g := range f.groups {
+		g.routed = false
+	}
 	for _, r := range t.Routes() {
 		for _, name := range r.Services() {
 			if s, ok := t.Service(name); ok {
 				f.group(name).declared = s
+				f.group(name).routed = true
 			}
 		}
 	}
--- a/core/process/placement/warm.go
+++ b/core/process/placement/warm.go
@@ -8,7 +8,7 @@
 const warmShare = 0.75
 
 // WarmAddresses returns the addresses to which this VM should hold a connection before
-// it has a request: that of the preferred target of each service.
+// it has a request: that of the preferred target of each service that a route uses.
 //
 // A query to hundreds of shards would otherwise open hundreds of connections at once.
 // For example, with 295 VMs that share 120 queries a second, a VM sees its first query
@@ -19,6 +19,9 @@
 	defer f.mu.Unlock()
 	var out []string
 	for _, g := range f.groups {
+		if !g.routed {
+			continue
+		}
 		if t := f.warmTarget(g, now); t != nil {
 			out = append(out, t.instance.Address())
 		}
--- a/core/process/placement/warm_test.go
+++ b/core/process/placement/warm_test.go
@@ -67,3 +67,18 @@
 	f.TakeFindings([]discovery.HealthFinding{discovery.NewHealthFinding("i-0", true, 0)}, now)
 	assert.DeepEqual(t, f.WarmAddresses(now), []string{"10.0.0.1:80"})
 }
+
+// A service that no route uses, yet or any more, gets no connection ahead.
+func TestNoWarmConnectionToAServiceWithoutARoute(t *testing.T) {
+	f := newTestFleet(newService(), "dc-1")
+	now := start.Add(time.Minute)
+	assert.Equal(t, len(f.WarmAddresses(now)), 1)
+	f.SetServices(routing.NewTable(2, []routing.Route{routing.NewRoute("r", "h", "/").WithShards([]string{"s-2"}, 20, 1)},
+		[]routing.Service{routing.NewService("s-2", ""), newService()}, routing.Limits{}))
+	assert.Equal(t, len(f.WarmAddresses(now)), 0)
+	list := discovery.NewList(append(newList(2, "dc-1").Instances(),
+		discovery.NewInstance("i-8", "s-2", "10.0.8.1:80", "dc-1", 2),
+		discovery.NewInstance("i-9", "s-3", "10.0.9.1:80", "dc-1", 2)), 2, start)
+	f.SetTargets(list, now)
+	assert.DeepEqual(t, f.WarmAddresses(now), []string{"10.0.8.1:80"})
+}
