--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -70,8 +70,7 @@
 		encodeLateResponses(enc, m)
 	case Unchanged:
 		enc.Uint(wireUnchanged)
-		enc.Uint(m.listSequenceNumber)
-		enc.Duration(m.listAge)
+		encodeUnchanged(enc, m)
 	}
 	return enc.Payload()
 }
@@ -107,7 +106,7 @@
 	case wireLateResponses:
 		out = decodeLateResponses(dec)
 	case wireUnchanged:
-		out = Unchanged{listSequenceNumber: dec.Uint(), listAge: dec.Duration()}
+		out = decodeUnchanged(dec)
 	default:
 		dec.Fail("unknown message kind")
 	}
--- a/core/connection/peer/presencecodec.go
+++ b/core/connection/peer/presencecodec.go
@@ -47,6 +47,15 @@
 	return p
 }
 
+func encodeUnchanged(enc *frame.Encoder, u Unchanged) {
+	enc.Uint(u.listSequenceNumber)
+	enc.Duration(u.listAge)
+}
+
+func decodeUnchanged(dec *frame.Decoder) Unchanged {
+	return Unchanged{listSequenceNumber: dec.Uint(), listAge: dec.Duration()}
+}
+
 func encodeLateResponses(enc *frame.Encoder, l LateResponses) {
 	enc.Uint(uint64(len(l.list)))
 	for _, r := range l.list {
