dispatch: the new times of sends and arrivals do not follow the time of day

A query in flight at a jump would have sent no hedges, or all at once. Both are kept as durations since a time with a monotonic reading.

--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -58,14 +58,15 @@
 	table  atomic.Pointer[routing.Table]
 	// running counts the requests that are not answered yet.
 	running atomic.Int64
-	// lastArrival is when the latest request arrived, in nanoseconds since the Unix
-	// epoch, 0 before the first.
+	startedAt time.Time
+	// lastArrival is the time, in nanoseconds, from startedAt until the latest request
+	// arrived, 0 before the first.
 	lastArrival atomic.Int64
 }
 
 // New returns a dispatcher without a routing table.
 func New(fleet *placement.Fleet, sender Sender) *Dispatcher {
-	return &Dispatcher{fleet: fleet, sender: sender}
+	return &Dispatcher{fleet: fleet, sender: sender, startedAt: time.Now()}
 }
 
 // SetTable sets the routing table for requests that arrive from now on.
@@ -82,11 +83,11 @@
 
 // LastArrival returns when the latest request arrived, or the zero time before the first.
 func (d *Dispatcher) LastArrival() time.Time {
-	at := d.lastArrival.Load()
-	if at == 0 {
+	after := d.lastArrival.Load()
+	if after == 0 {
 		return time.Time{}
 	}
-	return time.Unix(0, at)
+	return d.startedAt.Add(time.Duration(after))
 }
 
 // Trace describes how a request was answered, for the log.
@@ -124,7 +125,7 @@
 func (d *Dispatcher) Answer(ctx context.Context, req *relay.Request) (relay.Answer, Trace) {
 	d.running.Add(1)
 	defer d.running.Add(-1)
-	d.lastArrival.Store(req.Arrived().UnixNano())
+	d.lastArrival.Store(max(1, int64(req.Arrived().Sub(d.startedAt))))
 	table := d.table.Load()
 	if table == nil {
 		return relay.NewRefused(result.NoConfiguration, "this VM has no routes yet").WithRetryAfter(retryAfter(defaultRetryAfter, req)), Trace{}
--- a/core/process/dispatch/subrequest.go
+++ b/core/process/dispatch/subrequest.go
@@ -18,26 +18,27 @@
 	lease   *placement.Lease
 	cancel  context.CancelFunc
 	attempt relay.Attempt
-	// sentAt is when run started to send the attempt, in nanoseconds since the Unix
-	// epoch, 0 before that.
-	sentAt atomic.Int64
+	// sentAfter is the time, in nanoseconds, from the arrival of the query until run
+	// started to send the attempt, 0 before that. A jump of the time of day does not
+	// change it.
+	sentAfter atomic.Int64
 }
 
 // waitedSince returns how long the response has been awaited, 0 before the attempt is
 // sent. A VM with a fraction of a core may need tens of milliseconds until it has sent
 // a query to hundreds of shards.
 func (s *subRequest) waitedSince(now time.Time) time.Duration {
-	sentAt := s.sentAt.Load()
-	if sentAt == 0 {
+	sentAfter := time.Duration(s.sentAfter.Load())
+	if sentAfter == 0 {
 		return 0
 	}
-	return max(0, now.Sub(time.Unix(0, sentAt)))
+	return s.query.request.Elapsed(now) - sentAfter
 }
 
 // run sends the attempt and delivers its outcome to the query.
 func (s *subRequest) run(ctx context.Context) {
 	now := time.Now()
-	s.sentAt.Store(now.UnixNano())
+	s.sentAfter.Store(max(1, int64(s.query.request.Elapsed(now))))
 	s.lease.Sent(now)
 	outcome := s.query.dispatcher.sender.Send(ctx, s.attempt, now)
 	if answered, ok := outcome.(relay.Answered); ok && answered.Response().Rest() != nil {
