--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -57,7 +57,7 @@
 	sender Sender
 	table  atomic.Pointer[routing.Table]
 	// running counts the requests that are not answered yet.
-	running atomic.Int64
+	running   atomic.Int64
 	startedAt time.Time
 	// lastArrival is the time, in nanoseconds, from startedAt until the latest request
 	// arrived, 0 before the first.
