--- a/core/process/cluster/unchanged_test.go
+++ b/core/process/cluster/unchanged_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/frame"
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
@@ -76,7 +77,10 @@
 // waitForEntryVMs waits until a process knows a number of entry VMs.
 func waitForEntryVMs(t *testing.T, c *cluster.Cluster, n int) {
 	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); c.EntryVMs(time.Now()) != n; time.Sleep(20 * time.Millisecond) {
-		assert.Assert(t, time.Now().Before(deadline), "%d entry VMs, not %d", c.EntryVMs(time.Now()), n)
-	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if known := c.EntryVMs(time.Now()); known != n {
+			return poll.Continue("%d entry VMs, not %d", known, n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
 }
