upstream: a connection carries each request id once

Cause: after a rejection the connection went back to the pool, and the next send of the same request could get it. A late second copy of the rejection then had the id of the request that was in flight, and counted as the rejection of this send.

Ruled out: copies that wait in an idle connection (found before the send), copies with another id (the id is checked), other connections (a copy comes on its own).

Fix: the pool does not give a request a connection that has carried its id, so the id tells a copy from every other response on the connection. TestConnectionReuse and the others take a new id for each call of Get, as all requests have one.

--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -51,7 +51,7 @@
 	if a.AtMostOnce() {
 		maxIdle = maxIdleForNonIdempotent
 	}
-	conn, err := s.pool.Get(ctx, a.Instance().Address(), maxIdle, now)
+	conn, err := s.pool.Get(ctx, a.Instance().Address(), a.Request().ID(), maxIdle, now)
 	if err != nil {
 		return relay.NewUnsent(result.Wrap(err, result.Unreachable, "connecting to target %s", a.Instance().Address()))
 	}
--- a/core/connection/upstream/upstream.go
+++ b/core/connection/upstream/upstream.go
@@ -1,13 +1,14 @@
 // Package upstream keeps the connections of this VM to targets. A connection
-// carries one request at a time. It is reused only if nothing has arrived on it
-// since the last response, because bytes after a complete response belong to no
-// request.
+// carries one request at a time, and no two requests with the same id. It is
+// reused only if nothing has arrived on it since the last response, because bytes
+// after a complete response belong to no request.
 package upstream
 
 import (
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -70,6 +71,7 @@
 	maxIdle     time.Duration
 	lastUsed    time.Time
 	requests    int
+	carried     carriedIDs
 }
 
 // Reader returns the buffered reader of the connection.
@@ -103,12 +105,13 @@
 }
 
 // Release returns the connection to the pool. It closes the connection instead
-// if unread bytes are buffered, or if CloseAddresses was called for the address
-// and no connection to it was dialled since.
+// if unread bytes are buffered, if it has carried maxRequestsPerConnection, or if
+// CloseAddresses was called for the address and no connection to it was dialled
+// since.
 func (c *Conn) Release(now time.Time) {
 	c.requests++
 	c.lastUsed = now
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.carried.full() {
 		c.Discard()
 		return
 	}
@@ -151,8 +154,9 @@
 // Pool holds the idle connections by address. No other lock is taken while its
 // lock is held.
 type Pool struct {
-	dials atomic.Int64
-	open  atomic.Int64
+	hasher idHasher
+	dials  atomic.Int64
+	open   atomic.Int64
 	// lastIdleTimeout is the idle timeout of the connection whose target stated one
 	// last, in nanoseconds, 0 if none did. New connections have it until their own
 	// target states one.
@@ -165,7 +169,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: make(map[string][]*Conn), closedAddresses: make(map[string]bool)}
+	return &Pool{hasher: newIDHasher(), idle: make(map[string][]*Conn), closedAddresses: make(map[string]bool)}
 }
 
 // Dials returns the number of connections opened so far.
@@ -174,33 +178,53 @@
 // OpenConnections returns the number of connections that are open now.
 func (p *Pool) OpenConnections() int64 { return p.open.Load() }
 
-// Get returns the most recently used idle connection to an address, or a new
-// one. If maxIdle is greater than 0, a connection that has been idle for longer
-// is closed instead. Requests that must not be sent twice need this, because
-// the target may be closing an idle connection at that moment.
-func (p *Pool) Get(ctx context.Context, address string, maxIdle time.Duration, now time.Time) (*Conn, error) {
+// Get returns the most recently used idle connection to an address that has not
+// carried a request with this id, or a new one. Idle connections are closed if all of
+// them have carried the id, because a target limits the number of connections. If
+// maxIdle is greater than 0, a connection that has been idle for longer is closed
+// instead of used. Requests that must not be sent twice need this, because the target
+// may be closing an idle connection at that moment.
+func (p *Pool) Get(ctx context.Context, address, requestID string, maxIdle time.Duration, now time.Time) (*Conn, error) {
+	hash := p.hasher.hash(requestID)
 	for {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, hash)
 		if c == nil {
-			return p.dial(ctx, address)
+			break
 		}
-		if c.idleExpired(now) || maxIdle > 0 && now.Sub(c.lastUsed) > maxIdle || !c.inputEmpty() {
+		if c.carried.contains(hash) || c.idleExpired(now) || maxIdle > 0 && now.Sub(c.lastUsed) > maxIdle || !c.inputEmpty() {
 			c.Discard()
 			continue
 		}
+		c.carried.add(hash)
 		return c, nil
 	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.carried.add(hash)
+	return c, nil
 }
 
-func (p *Pool) takeIdle(address string) *Conn {
+// takeIdle removes from the idle connections to an address the most recently used one
+// that has not carried a request whose id has this hash, or if all of them have, the
+// most recently used one. It returns nil if there is none.
+func (p *Pool) takeIdle(address string, hash uint32) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	n := len(list) - 1
+	for n > 0 && list[n].carried.contains(hash) {
+		n--
+	}
+	if list[n].carried.contains(hash) {
+		n = len(list) - 1
+	}
+	c := list[n]
+	p.idle[address] = slices.Delete(list, n, n+1)
 	return c
 }
 
--- a/core/connection/upstream/upstream_test.go
+++ b/core/connection/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -52,11 +53,18 @@
 	return s
 }
 
-// get returns a connection from a pool after the server has accepted at least
-// one connection.
+// get returns a connection from a pool for a request with an id of its own, after the
+// server has accepted at least one connection.
 func get(t *testing.T, p *upstream.Pool, s *server, maxIdle time.Duration, now time.Time) *upstream.Conn {
 	t.Helper()
-	c, err := p.Get(context.Background(), s.socket.Addr().String(), maxIdle, now)
+	return getFor(t, p, s, uuid.NewString(), maxIdle, now)
+}
+
+// getFor returns a connection from a pool for the request with an id, after the server
+// has accepted at least one connection.
+func getFor(t *testing.T, p *upstream.Pool, s *server, id string, maxIdle time.Duration, now time.Time) *upstream.Conn {
+	t.Helper()
+	c, err := p.Get(context.Background(), s.socket.Addr().String(), id, maxIdle, now)
 	assert.NilError(t, err)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if s.last() == nil {
@@ -143,3 +151,38 @@
 	assert.Assert(t, p.Warm(t.Context(), address, now) != nil)
 	assert.Equal(t, p.OpenConnections(), int64(0))
 }
+
+// A connection that has carried an id never carries it again, whatever it carried in
+// between: a late copy of the first response could not be told from the second one.
+func TestConnectionCarriesAnIDOnlyOnce(t *testing.T) {
+	s := newServer(t)
+	p := upstream.NewPool()
+	now := time.Now()
+	first := getFor(t, p, s, "req-1", 0, now)
+	other := getFor(t, p, s, "req-2", 0, now)
+	other.Release(now)
+	first.Release(now)
+	again := getFor(t, p, s, "req-1", 0, now)
+	assert.Equal(t, again, other, "an idle connection that had not carried the id was not used")
+	again.Release(now)
+	assert.Equal(t, p.Dials(), int64(2))
+	// Both connections have carried the id now.
+	third := getFor(t, p, s, "req-1", 0, now)
+	assert.Assert(t, third != first && third != other)
+	assert.Equal(t, p.OpenConnections(), int64(1), "connections that had carried the id were kept beside the new one")
+}
+
+// The ids that a connection carried take memory, so that it is closed after
+// maxRequestsPerConnection.
+func TestConnectionIsReplacedAfterItsLastRequest(t *testing.T) {
+	const maxRequestsPerConnection = 1024
+	s := newServer(t)
+	p := upstream.NewPool()
+	now := time.Now()
+	for range maxRequestsPerConnection {
+		get(t, p, s, 0, now).Release(now)
+	}
+	assert.Equal(t, p.OpenConnections(), int64(0))
+	get(t, p, s, 0, now).Release(now)
+	assert.Equal(t, p.Dials(), int64(2))
+}
