document: an odd entry in a target list is skipped, whatever it holds

What callers would see: one entry of another writer, nested deep, ends every process that reads the list, again and again; one entry that is no JSON stops the list.

Cause: hujson recurses into nested values without a limit, and a page was parsed as one document.

Ruled out: ports over 65535 and numbers out of range were skipped before.

Fix: brackets are counted before a document is parsed, 256 levels at most; a list is split into elements that are parsed one by one. Of two entries with one id the first is kept.

--- a/core/process/discovery/discovery.go
+++ b/core/process/discovery/discovery.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sort"
 	"time"
 )
@@ -21,10 +22,11 @@
 	coldFor    time.Duration
 }
 
-// ValidAddress reports whether the address has the form IP:port.
+// ValidAddress reports whether the address has the form IP:port, with a port that a
+// target can listen on.
 func ValidAddress(address string) bool {
-	_, err := netip.ParseAddrPort(address)
-	return err == nil
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() != 0
 }
 
 // NewInstance returns an instance that is neither leaving nor cold. The address
@@ -78,13 +80,15 @@
 	readAt         time.Time
 }
 
-// NewList returns the list of instances that a read yielded. The sequence
+// NewList returns the list of instances that a read yielded, or the first of those
+// that have the same id. The sequence
 // number must be one higher than the highest that this VM knew when the read
 // began. A VM that was suspended during a read therefore cannot present its
 // outdated result as the newest.
 func NewList(instances []Instance, sequenceNumber uint64, readAt time.Time) List {
 	sorted := append([]Instance(nil), instances...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].id < sorted[j].id })
+	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].id < sorted[j].id })
+	sorted = slices.CompactFunc(sorted, func(a, b Instance) bool { return a.id == b.id })
 	return List{instances: sorted, sequenceNumber: sequenceNumber, readAt: readAt}
 }
 
--- a/core/process/discovery/discovery_test.go
+++ b/core/process/discovery/discovery_test.go
@@ -43,6 +43,18 @@
 	})
 }
 
+// An entry of another writer may have the id of a target. Taken in turns, the two would
+// be a new target without history at each read.
+func TestFirstOfTwoEntriesWithOneIDIsKept(t *testing.T) {
+	odd := discovery.NewInstance("i-1", "s-1", "10.0.0.9:80", "dc-1", 2)
+	entries := []discovery.Instance{newInstance("i-2"), newInstance("i-1"), odd}
+	list := discovery.NewList(entries, 1, startTime)
+	assert.Equal(t, fmt.Sprint(list.Instances()), fmt.Sprint([]discovery.Instance{newInstance("i-1"), newInstance("i-2")}))
+	assert.Equal(t, entries[2], odd, "the entries that were passed in have changed")
+	update := discovery.NewDifference([]discovery.Instance{odd}, nil)
+	assert.Equal(t, list.Apply(update, 2, startTime).Instances()[0], odd)
+}
+
 func TestCompareIgnoresRemainingColdTime(t *testing.T) {
 	a := discovery.NewList([]discovery.Instance{newInstance("i-1").WithColdFor(2 * time.Second)}, 1, startTime)
 	b := discovery.NewList([]discovery.Instance{newInstance("i-1").WithColdFor(time.Second)}, 2, startTime)
--- a/core/version/document/document.go
+++ b/core/version/document/document.go
@@ -19,6 +19,10 @@
 // 20 MB (about a third) with three.
 const MaxBytes = 64 << 20
 
+// maxDepth is the maximum number of objects and lists around a value. The parser
+// recurses into each of them, and a stack that has grown too large ends the process.
+const maxDepth = 256
+
 // Document is a parsed document with the faults found in it so far.
 type Document struct {
 	source []byte
@@ -26,14 +30,18 @@
 	faults []Fault
 }
 
-// Parse parses a document. If the document is too large or its syntax is
-// invalid, the error is a *Faults with one fault.
+// Parse parses a document. If the document is too large, its values are nested
+// too deep or its syntax is invalid, the error is a *Faults with one fault.
 func Parse(source []byte) (*Document, error) {
 	d := &Document{source: source}
 	if len(source) > MaxBytes {
 		d.addFaultAt(result.DocumentTooLarge, "", 0, "the document is too large: %d bytes", fmt.Sprintf("write at most %d bytes", MaxBytes), len(source))
 		return nil, d.Err()
 	}
+	if offset, found := nestedTooDeep(source, maxDepth); found {
+		d.addFaultAt(result.Syntax, "", offset, "values are nested too deep", fmt.Sprintf("write at most %d objects and lists around a value", maxDepth))
+		return nil, d.Err()
+	}
 	root, err := hujson.Parse(source)
 	if err != nil {
 		d.faults = append(d.faults, syntaxFault(source, err))
@@ -74,9 +82,6 @@
 	}
 }
 
-// FaultCount returns the number of faults found so far.
-func (d *Document) FaultCount() int { return len(d.faults) }
-
 // Err returns the faults found so far as a *Faults, or nil if there are none.
 func (d *Document) Err() error {
 	if len(d.faults) == 0 {
--- a/core/version/document/object.go
+++ b/core/version/document/object.go
@@ -29,8 +29,6 @@
 	// invalid is set if the value is missing or not an object. This has been
 	// recorded as a fault, so missing keys are not.
 	invalid bool
-	// duplicateKey is set if a key occurs more than once.
-	duplicateKey bool
 }
 
 // newObject indexes the members of a JSON object. It records a fault if the
@@ -55,7 +53,6 @@
 		name := literalString(&member.Name)
 		if _, duplicate := o.members[name]; duplicate {
 			d.addFaultAt(result.DuplicateKey, path+"/"+name, member.Name.StartOffset, "duplicate key %q", "remove one of the two", name)
-			o.duplicateKey = true
 			continue
 		}
 		o.members[name] = &member.Value
@@ -67,9 +64,9 @@
 // Path returns the JSON pointer to the object.
 func (o *Object) Path() string { return o.path }
 
-// HasDuplicateKey reports whether a key of the object occurs more than once. The
-// fault is recorded when the object is read, before any of its accessors is called.
-func (o *Object) HasDuplicateKey() bool { return o.duplicateKey }
+// Err returns the faults found so far in the document of the object as a *Faults, or
+// nil if there are none.
+func (o *Object) Err() error { return o.doc.Err() }
 
 // Has reports whether the object has the key, and marks it as requested.
 func (o *Object) Has(key string) bool {
--- a/mulberrydale/routes/document_test.go
+++ b/mulberrydale/routes/document_test.go
@@ -114,7 +114,8 @@
 
 func TestDecodeTargetsSkipsInvalidEntries(t *testing.T) {
 	good := `{"id": "i-1", "service": "s-1", "address": "127.0.0.1:80", "data-centre": "oulu-1", "slots": 2, "cold-ms": 1500}`
-	for _, bad := range []string{`{}`, `3`, strings.Replace(good, "127.0.0.1:80", "leaf-1:80", 1), strings.Replace(good, `"slots": 2`, `"slots": "two"`, 1), strings.Replace(good, `"id": "i-1"`, `"id": "i-1", "id": "i-2"`, 1)} {
+	deep := strings.Replace(good, `"slots": 2`, `"slots": `+strings.Repeat("[", 4<<20)+strings.Repeat("]", 4<<20), 1)
+	for _, bad := range []string{`{}`, `3`, deep, strings.Replace(good, ":80", ":65536", 1), strings.Replace(good, "1500", "1e999", 1), strings.Replace(good, "oulu-1", "oulu\x01", 1), strings.Replace(good, "127.0.0.1:80", "leaf-1:80", 1), strings.Replace(good, `"slots": 2`, `"slots": "two"`, 1), strings.Replace(good, `"id": "i-1"`, `"id": "i-1", "id": "i-2"`, 1)} {
 		targets, invalid, err := decodeTargets([]byte(`{"targets": [` + good + `,` + bad + `]}`))
 		assert.NilError(t, err)
 		assert.Equal(t, invalid, 1, bad)
--- a/mulberrydale/routes/list.go
+++ b/mulberrydale/routes/list.go
@@ -46,24 +46,19 @@
 }
 
 // decodeTargets decodes the target list. It skips invalid entries, such as those with
-// a duplicate key, and returns their number. It returns an error if the text is not a
-// JSON object, the object has a duplicate key, or its key targets holds no list.
+// a duplicate key, and returns their number. It returns an error if the text without the
+// entries is not a JSON object with unique keys, or its key targets holds no list.
 func decodeTargets(text []byte) (instances []discovery.Instance, invalid int, err error) {
-	doc, err := document.Parse(text)
+	list, err := document.ParseList(text, "targets")
 	if err != nil {
 		return nil, 0, err
 	}
-	root := doc.Root()
-	entries := root.Objects("targets")
-	if root.HasDuplicateKey() || len(entries) == 0 && doc.FaultCount() > 0 {
-		return nil, 0, doc.Err()
-	}
-	for _, o := range entries {
-		faultsBefore := doc.FaultCount()
+	invalid = list.Invalid()
+	for _, o := range list.Elements() {
 		i := discovery.NewInstance(o.String("id"), o.String("service"), o.String("address"), o.String("data-centre"), o.IntOr("slots", 0, maxSlots, 0)).
 			WithLeaving(o.BoolOr("leaving", false)).
 			WithColdFor(time.Duration(o.IntOr("cold-ms", 0, maxMillis, 0)) * time.Millisecond)
-		if o.HasDuplicateKey() || doc.FaultCount() > faultsBefore || i.ID() == "" || !discovery.ValidAddress(i.Address()) {
+		if o.Err() != nil || i.ID() == "" || !discovery.ValidAddress(i.Address()) {
 			invalid++
 			continue
 		}
