drain: a request that can't finish before the exit is refused or answered, not cut

What callers would see: in a planned stop, a request that came late in the grace period and takes longer than what is left of it ended without an answer.

Cause: nothing compared a request's time with the process's. Shutdown gave up at the end, the servers were shut down in turn, and a new connection's request was dropped once Shutdown had begun.

Ruled out: the balancer's lag (the readiness check fails at once).

Fix: after the lag, requests that may take too long get 503, and what runs 0.8 s before SIGKILL is answered with what is known of it. The servers are shut down together.

--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mulberrydale/mulberrydale/core/process/drain"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -56,6 +57,10 @@
 	fleet  *placement.Fleet
 	sender Sender
 	table  atomic.Pointer[routing.Table]
+	// drain is the state of the process's shutdown.
+	drain atomic.Pointer[drain.State]
+	// ended is closed when the requests that are running must be answered at once.
+	ended chan struct{}
 	// running counts the requests that are not answered yet.
 	running   atomic.Int64
 	startedAt time.Time
@@ -66,9 +71,23 @@
 
 // New returns a dispatcher without a routing table.
 func New(fleet *placement.Fleet, sender Sender) *Dispatcher {
-	return &Dispatcher{fleet: fleet, sender: sender, startedAt: time.Now()}
+	d := &Dispatcher{fleet: fleet, sender: sender, startedAt: time.Now(), ended: make(chan struct{})}
+	d.drain.Store(&drain.State{})
+	return d
 }
 
+// Drain sets the state of the process's shutdown, which decides whether a request is
+// still taken.
+func (d *Dispatcher) Drain(s drain.State) { d.drain.Store(&s) }
+
+// Draining reports whether the process is shutting down.
+func (d *Dispatcher) Draining() bool { return d.drain.Load().Draining() }
+
+// EndRequests makes all requests that are running return with what their targets have
+// answered so far. It must be called at most once, and later requests must not be
+// admitted.
+func (d *Dispatcher) EndRequests() { close(d.ended) }
+
 // SetTable sets the routing table for requests that arrive from now on.
 func (d *Dispatcher) SetTable(t *routing.Table) {
 	d.fleet.SetServices(t)
@@ -162,7 +181,8 @@
 	return answer, trace
 }
 
-// admit refuses a request immediately if its time is over, if too few of its
+// admit refuses a request immediately if its time is over, if this VM is leaving and
+// might not finish it, if too few of its
 // services have a target, or if the queues are so long that too few services
 // would get a target in time. The second result reports whether the request is
 // refused.
@@ -171,6 +191,9 @@
 	if !now.Before(plan.End()) {
 		return relay.NewRefused(result.DeadlineTooShort, "no time is left for the request"), true
 	}
+	if !d.drain.Load().Admits(plan.End(), now) {
+		return relay.NewRefused(result.Stopping, "this VM is leaving").WithRetryAfter(retryAfter(0, req)), true
+	}
 	inTime := 0
 	maxWait := plan.UnsentDeadline().Sub(now)
 	usable := d.servicesWithTargets(plan.Services())
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -46,8 +46,8 @@
 	outcome relay.Outcome
 }
 
-// run sends the parts and handles their outcomes until the answer is complete
-// or ctx ends.
+// run sends the parts and handles their outcomes until the answer is complete, ctx
+// ends, or the dispatcher ends all requests.
 func (q *query) run(ctx context.Context) {
 	now := q.request.Arrived()
 	for n := range q.state.NumParts() {
@@ -64,6 +64,9 @@
 			q.handleWaiting(now)
 		case <-timer.C:
 			now = time.Now()
+		case <-q.dispatcher.ended:
+			q.finish(false)
+			return
 		case <-ctx.Done():
 			q.finish(true)
 			return
--- a/core/process/drain/drain_test.go
+++ b/core/process/drain/drain_test.go
@@ -39,3 +39,30 @@
 	// true
 	// true
 }
+
+func TestAdmission(t *testing.T) {
+	const (
+		lag    = 2 * time.Second
+		finish = 5 * time.Second
+	)
+	serving := drain.New(lag).WithFinishAfter(finish)
+	draining := serving.Start(startTime)
+	tests := []struct {
+		name       string
+		state      drain.State
+		after, end time.Duration
+		want       bool
+	}{
+		{"not draining", serving, time.Second, time.Hour, true},
+		{"during the lag, in time", draining, time.Second, 3 * time.Second, true},
+		{"during the lag, perhaps not in time", draining, 1999 * time.Millisecond, time.Minute, true},
+		{"after the lag, in time", draining, 2 * time.Second, 5 * time.Second, true},
+		{"after the lag, perhaps not in time", draining, 2 * time.Second, 5001 * time.Millisecond, false},
+		{"after all requests were answered", draining, 5100 * time.Millisecond, 5200 * time.Millisecond, false},
+		{"the lag is longer than the shutdown", draining.WithFinishAfter(time.Second), 1500 * time.Millisecond, 3 * time.Second, false},
+	}
+	for _, tt := range tests {
+		got := tt.state.Admits(startTime.Add(tt.end), startTime.Add(tt.after))
+		assert.Equal(t, got, tt.want, tt.name)
+	}
+}
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -13,6 +13,7 @@
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/dispatch"
+	"github.com/mulberrydale/mulberrydale/core/process/drain"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
@@ -65,9 +66,14 @@
 // Readiness returns the HTTP handler for the load balancer's readiness checks.
 func (e *Entry) Readiness() http.Handler { return readiness{entry: e} }
 
-// StartDraining makes the readiness check fail and lets each further response
-// close its connection. Requests are still answered.
-func (e *Entry) StartDraining() { e.gateway.draining.Store(true) }
+// Drain makes the readiness check fail and lets each further response close its
+// connection. Requests are still answered as long as the state of the shutdown admits
+// them.
+func (e *Entry) Drain(s drain.State) { e.dispatcher.Drain(s) }
+
+// EndRequests answers all requests that are running, because the process must end. It
+// must be called at most once.
+func (e *Entry) EndRequests() { e.dispatcher.EndRequests() }
 
 // Running returns the number of requests that are not answered yet.
 func (e *Entry) Running() int { return int(e.dispatcher.Running()) }
@@ -117,7 +123,7 @@
 // that states why not.
 func (e *Entry) checkReady() error {
 	switch {
-	case e.gateway.draining.Load():
+	case e.dispatcher.Draining():
 		return result.New(result.Stopping, "this VM is leaving")
 	case e.dispatcher.Table() == nil:
 		return result.New(result.NoConfiguration, "this VM has no routes yet")
--- a/core/process/gateway/gateway.go
+++ b/core/process/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -41,7 +40,6 @@
 	dispatcher *dispatch.Dispatcher
 	names      exchange.HeaderNames
 	telemetry  *Telemetry
-	draining   atomic.Bool
 	// isIsolated reports whether this VM cannot reach enough targets, so that
 	// callers should use other VMs.
 	isIsolated func() bool
@@ -51,7 +49,7 @@
 // read or written, it panics with http.ErrAbortHandler.
 func (g *gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if g.draining.Load() || g.isIsolated() {
+	if g.dispatcher.Draining() || g.isIsolated() {
 		w.Header().Set("Connection", "close")
 	}
 	// A nil entry keeps net/http from adding a Date header, which callers do
--- a/core/process/gateway/warm.go
+++ b/core/process/gateway/warm.go
@@ -73,7 +73,7 @@
 
 // wanted reports whether connections are held open without a request.
 func (l *warmLoop) wanted(now time.Time) bool {
-	if l.entry.gateway.draining.Load() {
+	if l.entry.dispatcher.Draining() {
 		return false
 	}
 	return now.Sub(l.startedAt) < warmPeriod || now.Sub(l.entry.dispatcher.LastArrival()) < warmPeriod
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -43,8 +44,11 @@
 	// apart, and for the network delay.
 	balancerLag = 3200 * time.Millisecond
 	// exitMargin is the time left between the planned exit of the process and
-	// SIGKILL.
+	// SIGKILL, at most a sixth of the grace period.
 	exitMargin = 500 * time.Millisecond
+	// answerMargin is the time before the planned exit in which the answers to
+	// requests that have not finished are sent, at most a tenth of the grace period.
+	answerMargin = 300 * time.Millisecond
 	// drainPollInterval is the time between two checks whether draining has
 	// reached its next phase.
 	drainPollInterval = 50 * time.Millisecond
@@ -239,39 +243,56 @@
 
 // shutdown first makes the readiness check fail, but accepts further requests,
 // because the load balancer may still send some. This lasts for balancerLag, but
-// at most for two thirds of the grace period. It then accepts no new requests and
-// waits for those in flight, at the latest until exitMargin before the end of the
-// grace period. A VM without the entry role, which the balancer does not know, only
-// waits for the requests of operators in flight.
+// at most for two thirds of the grace period. Until the requests in flight are answered
+// it then refuses those that might take too long. Requests that have not finished
+// answerMargin before the exit are answered with what is known of them, so that no
+// caller is left without an answer. A VM without the entry role, which the balancer does
+// not know, only waits for the requests of operators in flight.
 func (p *process) shutdown(ctx context.Context) {
 	p.log.Info("leaving")
 	began := time.Now()
 	grace := p.settings.gracePeriod
+	untilExit := grace - min(exitMargin, grace/6)
 	if p.entry != nil {
-		p.drainEntry(min(balancerLag, grace*2/3), began)
+		finishAfter := untilExit - min(answerMargin, grace/10)
+		defer time.AfterFunc(finishAfter, p.entry.EndRequests).Stop()
+		p.drainEntry(drain.New(min(balancerLag, grace*2/3)).WithFinishAfter(finishAfter).Start(began), began)
 	}
-	// The servers are shut down one after the other, in the order in which they
-	// were started. A server that is shut down accepts no new request, not even
-	// on open connections. Requests in flight have until exitMargin before
-	// SIGKILL.
-	shutdownCtx, cancel := context.WithDeadline(ctx, began.Add(grace-exitMargin))
+	// A server that is shut down closes the connection of a new request without an
+	// answer.
+	shutdownCtx, cancel := context.WithDeadline(ctx, began.Add(untilExit))
 	defer cancel()
+	var group sync.WaitGroup
 	for _, server := range p.servers {
-		if err := server.Shutdown(shutdownCtx); err != nil {
-			p.log.Warn("requests were still in flight at the shutdown deadline", logsink.Cause(err))
-		}
+		group.Add(1)
+		go (&serverShutdown{server: server, log: p.log, group: &group}).run(shutdownCtx)
 	}
+	group.Wait()
 	p.log.Info("stopped", zap.Duration("after", time.Since(began)))
 }
 
 // drainEntry makes the readiness check fail and waits until the balancer has noticed
-// and no request is running.
-func (p *process) drainEntry(lag time.Duration, began time.Time) {
-	p.entry.StartDraining()
-	drainState := drain.New(lag).Start(began)
+// and no request is running, or until all requests must be answered.
+func (p *process) drainEntry(s drain.State, began time.Time) {
+	p.entry.Drain(s)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for now := began; drainState.Phase(p.entry.Running(), now) < drain.Finishing; now = <-ticker.C {
+	for now := began; s.Phase(p.entry.Running(), now) < drain.Stopped; now = <-ticker.C {
+	}
+}
+
+// serverShutdown waits until the requests in flight at one server are answered. One
+// server must not keep the others open.
+type serverShutdown struct {
+	server *http.Server
+	log    *zap.Logger
+	group  *sync.WaitGroup
+}
+
+func (s *serverShutdown) run(ctx context.Context) {
+	defer s.group.Done()
+	if err := s.server.Shutdown(ctx); err != nil {
+		s.log.Warn("requests were still in flight at the shutdown deadline", logsink.Cause(err))
 	}
 }
 
