gateway: a caller that seems to have left gets an answer, never an empty success

Cause: net/http cancels the context at the end of the caller's stream; the handler returned without writing, for which net/http sends an empty 200.

--- a/core/process/gateway/gateway.go
+++ b/core/process/gateway/gateway.go
@@ -46,7 +46,9 @@
 }
 
 // ServeHTTP answers one request. If the rest of a relayed response cannot be
-// read or written, it panics with http.ErrAbortHandler.
+// read or written, it panics with http.ErrAbortHandler. It never returns without an
+// answer, because net/http then sends a success without a body. Not even a caller that
+// seems to have left may get that: it may have ended only its side of the connection.
 func (g *gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	if g.dispatcher.Draining() || g.isIsolated() {
@@ -64,11 +66,7 @@
 	if relayed, ok := answer.(relay.Relayed); ok {
 		defer relayed.Response().Close()
 	}
-	callerLeft := r.Context().Err() != nil
-	g.telemetry.recordAnswer(req, answer, trace, callerLeft, time.Now())
-	if callerLeft {
-		return
-	}
+	g.telemetry.recordAnswer(req, answer, trace, r.Context().Err() != nil, time.Now())
 	if err := g.writeAnswer(w, r.Method, answer); err != nil {
 		g.telemetry.recordAborted(req, trace, err, time.Now())
 		// The panic closes the connection, so that the caller does not take the
