placement: whether a target is leaving or wants no requests is one state for each run

Cause: the mark that a target is leaving was never unset while the entry stayed on the list.

Ruled out: the list and its distribution (the process logged the new list).

Fix: a target's departure has the time of its first sign; a list that was certainly read later shows a new run, and an older list, a late answer or a removal don't. The new header for leaving is such a sign in any response with the right id. While all targets of a service leave they serve for half of the drain timeout; then requests are refused at once.

With it, what else a target says of itself: after 503 or 429 with Retry-After this VM sends it nothing, for an hour at most, then one request at a time; when all targets wait, a request is refused at once with the time that is left.

--- a/core/connection/exchange/names.go
+++ b/core/connection/exchange/names.go
@@ -9,6 +9,7 @@
 	signature string
 	load      string
 	notRun    string
+	leaving   string
 	parts     string
 	missing   string
 }
@@ -31,6 +32,13 @@
 	return n
 }
 
+// WithLeaving returns the names with that of the response header with which a target
+// says that it is about to end.
+func (n HeaderNames) WithLeaving(leaving string) HeaderNames {
+	n.leaving = leaving
+	return n
+}
+
 // WithMerged returns the names with those of the headers of a response that is
 // merged from several shards: the signatures of the targets whose responses
 // were merged, and the number of shards without a usable response.
@@ -45,6 +53,7 @@
 func OwnHeaderNames() HeaderNames {
 	return NewHeaderNames("Mulberrydale-Request", "Mulberrydale-Deadline-Ms", "Mulberrydale-Target").
 		WithResponse("Mulberrydale-Signature", "Mulberrydale-Load", "Mulberrydale-Not-Run").
+		WithLeaving("Mulberrydale-Leaving").
 		WithMerged("Mulberrydale-Parts", "Mulberrydale-Missing")
 }
 
@@ -66,6 +75,10 @@
 // did not run.
 func (n HeaderNames) NotRun() string { return n.notRun }
 
+// Leaving returns the name of the header with which a target says that it is about to
+// end.
+func (n HeaderNames) Leaving() string { return n.leaving }
+
 // Parts returns the name of the header with the signatures of the targets whose
 // responses were merged.
 func (n HeaderNames) Parts() string { return n.parts }
--- a/core/connection/exchange/response.go
+++ b/core/connection/exchange/response.go
@@ -84,10 +84,11 @@
 	if streamable {
 		limit = MaxBufferedBytes
 	}
+	notice := x.names.notice(res, x.attempt.Request().ID())
 	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
 	if err != nil {
 		x.finish(false)
-		return relay.NewLost(result.Wrap(err, result.Unreachable, "the response body broke off"))
+		return relay.NewLost(result.Wrap(err, result.Unreachable, "the response body broke off")).WithNotice(notice)
 	}
 	var header http.Header
 	if !x.attempt.NeedsWholeResponse() {
@@ -100,16 +101,29 @@
 	case int64(len(body)) <= limit:
 		_ = res.Body.Close()
 		x.finish(reuse && !res.Close)
-		return outcome
+		return withNotice(outcome, notice)
 	case ok && streamable:
 		rest := &streamedBody{ReadCloser: res.Body, roundTrip: x, reuse: reuse && !res.Close}
-		return relay.NewAnswered(answered.Response().WithRest(rest, res.ContentLength), answered.Load())
+		return relay.NewAnswered(answered.Response().WithRest(rest, res.ContentLength), answered.Load()).WithNotice(notice)
 	}
 	x.finish(false)
 	if !ok {
-		return outcome
+		return withNotice(outcome, notice)
 	}
-	return relay.NewLost(result.New(result.FrameTooLarge, "the response body is over the limit of %d bytes", limit))
+	return relay.NewLost(result.New(result.FrameTooLarge, "the response body is over the limit of %d bytes", limit)).WithNotice(notice)
+}
+
+// withNotice returns the outcome of a response with what the target said in it.
+func withNotice(outcome relay.Outcome, n relay.Notice) relay.Outcome {
+	switch o := outcome.(type) {
+	case relay.Answered:
+		return o.WithNotice(n)
+	case relay.Declined:
+		return o.WithNotice(n)
+	case relay.Lost:
+		return o.WithNotice(n)
+	}
+	return outcome
 }
 
 // streamedBody is the rest of a response body after the buffered beginning. Its
@@ -147,7 +161,7 @@
 		return relay.NewLost(result.New(result.FrameMalformed, "the response carries request id %q instead of the id of this request", echoed)), false
 	}
 	// Status 421 means that the target at this address is not the instance that
-	// the request names. It is treated like a target that is shutting down.
+	// the request names.
 	if res.Header.Get(n.notRun) != "" || res.StatusCode == http.StatusMisdirectedRequest {
 		return relay.NewDeclined(load, res.StatusCode == http.StatusMisdirectedRequest, "status "+strconv.Itoa(res.StatusCode)), true
 	}
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -36,10 +36,11 @@
 	controlVMExpiry = 2 * time.Minute
 )
 
-// Observer is notified of new routes and target lists. Calls are serialized.
+// Observer is notified of new routes and of each newer target list; changed is false if
+// the list holds the same targets as the one before. Calls are serialized.
 type Observer interface {
 	RoutesChanged(routes replica.Routes, now time.Time)
-	TargetsChanged(list discovery.List, now time.Time)
+	TargetsRead(list discovery.List, changed bool, now time.Time)
 }
 
 // Identity describes a process to its peers. All of it but the start id comes
@@ -295,8 +296,7 @@
 }
 
 // adoptList replaces the target list if the given one is newer, and reports
-// whether it was. The observer is notified only if the targets differ or this
-// is the first list.
+// whether it was.
 func (c *Cluster) adoptList(list discovery.List, now time.Time) bool {
 	c.observerMu.Lock()
 	defer c.observerMu.Unlock()
@@ -312,11 +312,12 @@
 	if !newer {
 		return false
 	}
-	if first || !difference.Empty() {
+	changed := first || !difference.Empty()
+	if changed {
 		c.log.Info("target list changed", zap.Int("targets", len(list.Instances())),
 			zap.Int("changed", len(difference.Changed())), zap.Int("removed", len(difference.Removed())))
-		c.observer.TargetsChanged(list, now)
 	}
+	c.observer.TargetsRead(list, changed, now)
 	return true
 }
 
--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -82,7 +82,7 @@
 	o.changes++
 }
 
-func (o *recordingObserver) TargetsChanged(list discovery.List, _ time.Time) {
+func (o *recordingObserver) TargetsRead(list discovery.List, _ bool, _ time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.list = list
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -174,9 +174,10 @@
 		trace:      &trace,
 	}
 	q.run(ctx)
-	answer := q.state.Answer(time.Now())
+	now := time.Now()
+	answer := q.state.Answer(now)
 	if refused, isRefused := answer.(relay.Refused); isRefused && refused.Code().Execution() == result.NotRun {
-		answer = refused.WithRetryAfter(retryAfter(d.longestWait(plan, time.Now()), req))
+		answer = d.withRetryAfter(refused, plan, req, now)
 	}
 	return answer, trace
 }
@@ -196,7 +197,7 @@
 	}
 	inTime := 0
 	maxWait := plan.UnsentDeadline().Sub(now)
-	usable := d.servicesWithTargets(plan.Services())
+	usable := d.servicesWithTargets(plan.Services(), now)
 	for _, s := range usable {
 		if d.fleet.ExpectedWait(s, plan.Route().Priority(), now) <= maxWait {
 			inTime++
@@ -204,18 +205,29 @@
 	}
 	switch {
 	case len(usable) < plan.MinParts():
-		return relay.NewRefused(result.NoTarget, "too few services have a target").WithRetryAfter(retryAfter(defaultRetryAfter, req)), true
+		return d.refuseUnusable(plan, req, now), true
 	case inTime < plan.MinParts():
 		return relay.NewRefused(result.Overloaded, "the wait for a target would be too long").WithRetryAfter(retryAfter(d.longestWait(plan, now), req)), true
 	}
 	return relay.Refused{}, false
 }
 
+// refuseUnusable returns the refusal of a request of whose services too few have a usable
+// target. If targets have asked this VM to wait, the caller is told when enough of them
+// want requests again, even if that is later than the caller allows.
+func (d *Dispatcher) refuseUnusable(plan relay.Plan, req *relay.Request, now time.Time) relay.Refused {
+	wait, known := d.fleet.UntilUsable(plan.Services(), plan.MinParts(), now)
+	if !known {
+		return relay.NewRefused(result.NoTarget, "too few services have a target").WithRetryAfter(retryAfter(defaultRetryAfter, req))
+	}
+	return relay.NewRefused(result.Overloaded, "the targets want no requests for a time").WithRetryAfter(wait + spread(minRetryAfter))
+}
+
 // servicesWithTargets returns those of the services that have a usable target.
-func (d *Dispatcher) servicesWithTargets(services []string) []string {
+func (d *Dispatcher) servicesWithTargets(services []string, now time.Time) []string {
 	var out []string
 	for _, s := range services {
-		if d.fleet.UsableTargets(s) > 0 {
+		if d.fleet.UsableTargets(s, now) > 0 {
 			out = append(out, s)
 		}
 	}
@@ -223,20 +235,33 @@
 }
 
 // Servable reports whether every route over shards has enough services with a
-// target that can be reached from this VM. It is false without a routing table.
-func (d *Dispatcher) Servable() bool {
+// target that can be reached from this VM, even if the targets want no requests for a
+// time. It is false without a routing table.
+func (d *Dispatcher) Servable(now time.Time) bool {
 	table := d.table.Load()
 	if table == nil {
 		return false
 	}
 	for _, route := range table.Routes() {
-		if len(route.Shards()) > 0 && len(d.servicesWithTargets(route.Shards())) < route.MinShards() {
+		if len(route.Shards()) == 0 {
+			continue
+		}
+		if _, known := d.fleet.UntilUsable(route.Shards(), route.MinShards(), now); !known {
 			return false
 		}
 	}
 	return true
 }
 
+// withRetryAfter returns the refusal of a request that was not run, with the time after
+// which the caller may retry.
+func (d *Dispatcher) withRetryAfter(refused relay.Refused, plan relay.Plan, req *relay.Request, now time.Time) relay.Refused {
+	if wait, known := d.fleet.UntilUsable(plan.Services(), plan.MinParts(), now); known && wait > 0 {
+		return refused.WithRetryAfter(wait + spread(minRetryAfter))
+	}
+	return refused.WithRetryAfter(retryAfter(d.longestWait(plan, now), req))
+}
+
 // longestWait returns the longest expected queueing time among the services of
 // a plan.
 func (d *Dispatcher) longestWait(plan relay.Plan, now time.Time) time.Duration {
@@ -252,9 +277,12 @@
 // same time. If the request has a timeout, the result is at most
 // maxRetryAfterFraction of it.
 func retryAfter(wait time.Duration, req *relay.Request) time.Duration {
-	wait += minRetryAfter + time.Duration(rand.Int64N(int64(wait/2+minRetryAfter)))
+	wait += minRetryAfter + spread(wait/2+minRetryAfter)
 	if timeout := req.Timeout(); timeout > 0 {
 		wait = min(wait, time.Duration(maxRetryAfterFraction*float64(timeout)))
 	}
 	return wait
 }
+
+// spread returns a random time below the limit, so that callers don't return together.
+func spread(limit time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(limit))) }
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -90,7 +90,7 @@
 		q.send(n, lease, now)
 		return
 	}
-	if q.dispatcher.fleet.UsableTargets(q.state.Plan().Services()[n]) == 0 {
+	if q.dispatcher.fleet.UsableTargets(q.state.Plan().Services()[n], now) == 0 {
 		q.state.GiveUp(n)
 		return
 	}
@@ -215,7 +215,7 @@
 func (q *query) sendAgain(n int, exempt bool, now time.Time) {
 	r := q.leaseRequest(n).ExtraAttempt(q.state.Tried(n), exempt)
 	lease, ok := q.dispatcher.fleet.Acquire(r, now)
-	if !ok && len(q.state.Tried(n)) >= q.dispatcher.fleet.UsableTargets(q.state.Plan().Services()[n]) {
+	if !ok && len(q.state.Tried(n)) >= q.dispatcher.fleet.UsableTargets(q.state.Plan().Services()[n], now) {
 		// All targets were tried; exclude only the last one.
 		r = q.leaseRequest(n).ExtraAttempt(q.state.Tried(n)[len(q.state.Tried(n))-1:], exempt)
 		lease, ok = q.dispatcher.fleet.Acquire(r, now)
@@ -247,10 +247,25 @@
 		if q.state.Waiting(n) {
 			q.dispatcher.fleet.RecheckQueue(q.waiters[n], now)
 			q.sendIfLeased(n, now)
+			q.giveUpIfUnusable(n, now)
 		}
 	}
 }
 
+// giveUpIfUnusable gives up the queued part n if its service no longer has a usable
+// target.
+func (q *query) giveUpIfUnusable(n int, now time.Time) {
+	if q.waiters[n] == nil || q.dispatcher.fleet.UsableTargets(q.state.Plan().Services()[n], now) > 0 {
+		return
+	}
+	if q.dispatcher.fleet.Dequeue(q.waiters[n]) {
+		q.waiters[n] = nil
+		q.state.GiveUp(n)
+		return
+	}
+	q.sendIfLeased(n, now)
+}
+
 // finish removes the query from the queues, discards pending outcomes and
 // records the missing services in the trace. Attempts in flight continue, so
 // that their connections can be reused. If the caller has left they are
--- a/core/process/dispatch/subrequest.go
+++ b/core/process/dispatch/subrequest.go
@@ -53,7 +53,11 @@
 // holdLease returns a streamed outcome that keeps the lease and the context of
 // the attempt until the rest of the response is closed.
 func (s *subRequest) holdLease(ctx context.Context, o relay.Answered) relay.Answered {
-	s.lease.StreamingStarted(time.Now())
+	now := time.Now()
+	s.lease.StreamingStarted(now)
+	if relay.NoticeOf(o).Leaving() {
+		s.lease.Leaving(now)
+	}
 	r := o.Response()
 	body := &leasedBody{ReadCloser: r.Rest(), onClose: func() {
 		s.releaseLease(ctx, o, time.Now())
@@ -77,8 +81,17 @@
 	return err
 }
 
-// releaseLease ends the lease with the outcome and reports the target's load.
+// releaseLease ends the lease with the outcome and reports the target's load, or that it
+// is leaving or wants no requests for a time.
 func (s *subRequest) releaseLease(ctx context.Context, outcome relay.Outcome, now time.Time) {
+	notice := relay.NoticeOf(outcome)
+	if notice.Leaving() {
+		s.lease.Leaving(now)
+	}
+	if wait := notice.RetryAfter(); wait > 0 {
+		s.lease.RefusedFor(wait, now)
+		return
+	}
 	switch o := outcome.(type) {
 	case relay.Answered:
 		if o.Load().Known() {
@@ -93,7 +106,7 @@
 		if o.Load().Known() {
 			s.lease.ReportLoad(o.Load().Running(), o.Load().Waiting(), now)
 		}
-		s.lease.Refused(o.Leaving(), now)
+		s.lease.Refused(o.Misdirected(), now)
 	case relay.Unsent:
 		if ctx.Err() != nil && s.query.isFinished() {
 			s.lease.Unsent(now)
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -51,6 +51,10 @@
 	return e
 }
 
+// SetTargetTimes sets the times that the platform states for all targets. It must be
+// called before Start.
+func (e *Entry) SetTargetTimes(times placement.TargetTimes) { e.fleet.SetTargetTimes(times) }
+
 // SetCluster sets the cluster that provides the number of entry VMs and the
 // reachable data centres, and makes it exchange findings on the health of
 // targets between the fleets of the entry VMs. It must be called before the
@@ -80,7 +84,9 @@
 
 // UsableTargets returns the number of targets of a service that may get
 // requests.
-func (e *Entry) UsableTargets(service string) int { return e.fleet.UsableTargets(service) }
+func (e *Entry) UsableTargets(service string, now time.Time) int {
+	return e.fleet.UsableTargets(service, now)
+}
 
 // Start runs four loops in the background until ctx ends: one closes connections
 // to targets that have been idle for too long, one opens connections before they are
@@ -112,10 +118,14 @@
 	e.dispatcher.SetTable(t)
 }
 
-// TargetsChanged replaces the list of targets and closes the idle connections
+// TargetsRead replaces the list of targets and closes the idle connections
 // to the addresses of targets whose ID is no longer listed, unless a listed
-// target uses the address.
-func (e *Entry) TargetsChanged(list discovery.List, now time.Time) {
+// target uses the address. A list with the same targets as before says only that they
+// are still listed, which matters if a target is known to be leaving.
+func (e *Entry) TargetsRead(list discovery.List, changed bool, now time.Time) {
+	if !changed && !e.fleet.HasDepartures() {
+		return
+	}
 	e.pool.CloseAddresses(e.fleet.SetTargets(list, now))
 }
 
@@ -167,6 +177,21 @@
 	}
 }
 
+// maxLoggedChanges bounds the lines about changes of targets that are logged at once.
+const maxLoggedChanges = 16
+
+// logTargetChanges logs what requests and the list have shown of targets since the last
+// call.
+func (e *Entry) logTargetChanges() {
+	changes := e.fleet.TakeChanges()
+	for _, c := range changes[:min(len(changes), maxLoggedChanges)] {
+		e.log.Info("target changed", zap.String("target", c.ID()), zap.String("change", string(c.Kind())), zap.Duration("wait", c.Wait()))
+	}
+	if more := len(changes) - maxLoggedChanges; more > 0 {
+		e.log.Info("further targets changed", zap.Int("targets", more))
+	}
+}
+
 // updateMembership passes the number of entry VMs and the reachable data centres
 // from the cluster to the fleet. The fleet derives the share of this VM in the
 // connections and limits of each target from the number of entry VMs. If data
@@ -177,7 +202,8 @@
 	e.fleet.SetEntryVMs(e.cluster.EntryVMs(now), now)
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
-	isolated := len(unreachable) > 0 && !e.dispatcher.Servable()
+	e.logTargetChanges()
+	isolated := len(unreachable) > 0 && !e.dispatcher.Servable(now)
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("target reachability changed", zap.Bool("isolated", isolated), zap.Strings("data-centres", unreachable))
 	}
--- a/core/process/gateway/explain_test.go
+++ b/core/process/gateway/explain_test.go
@@ -65,7 +65,7 @@
 				}
 				instances = append(instances, newLeafServer(t, respond).instance(fmt.Sprintf("i-%d", n), service))
 			}
-			e.TargetsChanged(discovery.NewList(instances, 1, time.Now()), time.Now())
+			e.TargetsRead(discovery.NewList(instances, 1, time.Now()), true, time.Now())
 			s := &entryServer{entry: e, server: httptest.NewServer(e.Handler())}
 			defer s.server.Close()
 			res, _ := s.send(t, "GET", "/x/1", "")
--- a/core/process/gateway/wire_test.go
+++ b/core/process/gateway/wire_test.go
@@ -106,7 +106,7 @@
 	t.Helper()
 	e := newTestEntry(NewTelemetry(zap.NewNop()), 50)
 	e.dispatcher.SetTable(table)
-	e.TargetsChanged(discovery.NewList(instances, 1, time.Now()), time.Now())
+	e.TargetsRead(discovery.NewList(instances, 1, time.Now()), true, time.Now())
 	s := httptest.NewServer(e.Handler())
 	t.Cleanup(s.Close)
 	return &entryServer{entry: e, server: s}
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -119,6 +119,7 @@
 	var observer cluster.Observer = noopObserver{}
 	if s.callersAddress != "" {
 		p.entry = gateway.NewEntry(s.vm, s.dataCentre, s.limits, p.adapter.HeaderNames(), p.adapter.DecodeRoutes, telemetry, p.log)
+		p.entry.SetTargetTimes(s.targetTimes)
 		observer = p.entry
 	}
 	p.cluster = cluster.New(identity, s.seeds, p.adapter.NewListReader(s, p.log), observer, p.log)
@@ -175,8 +176,8 @@
 // RoutesChanged implements cluster.Observer.
 func (noopObserver) RoutesChanged(replica.Routes, time.Time) {}
 
-// TargetsChanged implements cluster.Observer.
-func (noopObserver) TargetsChanged(discovery.List, time.Time) {}
+// TargetsRead implements cluster.Observer.
+func (noopObserver) TargetsRead(discovery.List, bool, time.Time) {}
 
 // serveHTTP listens on an address and serves HTTP in the background. An error
 // of the listener is sent to serveErrors.
--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -33,6 +33,7 @@
 	gracePeriod       time.Duration
 	voters            int
 	limits            placement.Limits
+	targetTimes       placement.TargetTimes
 }
 
 // NewSettings returns the settings of a VM in a data centre that serves metrics
@@ -87,6 +88,12 @@
 	return s
 }
 
+// WithTargetTimes sets the times that the platform states for all targets.
+func (s Settings) WithTargetTimes(times placement.TargetTimes) Settings {
+	s.targetTimes = times
+	return s
+}
+
 // WithGracePeriod sets the time between SIGTERM and SIGKILL.
 func (s Settings) WithGracePeriod(d time.Duration) Settings {
 	s.gracePeriod = d
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -43,9 +43,10 @@
 	// down targets recently gave no response, refused or reset a connection, or
 	// are in an unreachable data centre and due for a trial request.
 	down
-	// excluded targets get no requests: they are not listed, are shutting down,
-	// are out of service, have no capacity left for this VM, or are in an
-	// unreachable data centre and not due for a trial request.
+	// excluded targets get no requests: they are not listed, are shutting down
+	// while others are not, want no requests for a time, are out of service, have no
+	// capacity left for this VM, or are in an unreachable data centre and not due for
+	// a trial request.
 	excluded
 )
 
@@ -54,7 +55,9 @@
 // suspect, and requests go to the other two. The caller holds f.mu.
 func (f *Fleet) classify(t *Target, now time.Time) healthClass {
 	switch {
-	case !t.listed || t.leaving || f.outOfService[t.instance.DataCentre()]:
+	case !t.listed || t.waiting(now) || f.outOfService[t.instance.DataCentre()]:
+		return excluded
+	case t.departure.known() && !f.lastResort(t, now):
 		return excluded
 	case !t.hasCapacity(now) || !t.hasColdCapacity(now):
 		return excluded
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -19,6 +19,10 @@
 	// defaultSlots is the number of slots, that is, of requests run at once,
 	// that maxInFlight assumes for a target that does not report it.
 	defaultSlots = 8
+	// defaultListLag and defaultDrainTimeout are the times of targets for which the
+	// platform states none.
+	defaultListLag      = time.Second
+	defaultDrainTimeout = 3 * time.Second
 )
 
 // Limits holds the limits that apply to all VMs together: the retry budget and
@@ -55,6 +59,9 @@
 	// together.
 	latencies    map[string]*latency
 	byID         map[string]*Target
+	departed     map[string]departed
+	times        TargetTimes
+	changes      []TargetChange
 	outOfService map[string]bool
 	reachability map[string]*centreReachability
 	// entryVMs is the number of VMs that share the targets.
@@ -91,6 +98,8 @@
 		groups:       make(map[string]*group),
 		latencies:    make(map[string]*latency),
 		byID:         make(map[string]*Target),
+		departed:     make(map[string]departed),
+		times:        NewTargetTimes(defaultListLag, defaultDrainTimeout),
 		outOfService: make(map[string]bool),
 		reachability: make(map[string]*centreReachability),
 		entryVMs:     1,
@@ -167,6 +176,14 @@
 	f.entryVMsSetAt = now
 }
 
+// SetTargetTimes sets the times that the platform states for all targets. It must be
+// called before the first list.
+func (f *Fleet) SetTargetTimes(times TargetTimes) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.times = times
+}
+
 // SetServices sets the declarations of the services that the routes of a
 // routing table use. The last declaration of any other service stays in effect.
 func (f *Fleet) SetServices(t *routing.Table) {
@@ -208,12 +225,13 @@
 	for _, i := range list.Instances() {
 		listed[i.ID()] = true
 		addresses[i.Address()] = true
-		if replaced := f.upsert(i, now); replaced != nil {
+		if replaced := f.upsert(i, list.ReadAt(), now); replaced != nil {
 			removed = append(removed, replaced)
 		}
 	}
 	for id, t := range f.byID {
 		if !listed[id] {
+			f.rememberDeparture(t, now)
 			f.remove(t)
 			removed = append(removed, t)
 		}
@@ -229,12 +247,12 @@
 }
 
 // upsert adds a target or updates it. If its service or address has changed, it
-// is replaced by a new target without history, and the old one is returned. The
-// caller holds f.mu.
-func (f *Fleet) upsert(i discovery.Instance, now time.Time) (replaced *Target) {
+// is replaced by a new target without history, and the old one is returned. readAt is
+// when the list was read. The caller holds f.mu.
+func (f *Fleet) upsert(i discovery.Instance, readAt, now time.Time) (replaced *Target) {
 	t := f.byID[i.ID()]
 	if t != nil && t.instance.Service() == i.Service() && t.instance.Address() == i.Address() {
-		t.update(i, now)
+		t.update(i, readAt, now)
 		return nil
 	}
 	if t != nil {
@@ -242,7 +260,7 @@
 		replaced = t
 	}
 	g := f.group(i.Service())
-	t = newTarget(i, g, now)
+	t = newTarget(i, g, f.recallDeparture(i.ID(), i.Address()), readAt, now)
 	g.targets = append(g.targets, t)
 	f.byID[i.ID()] = t
 	return replaced
@@ -263,14 +281,15 @@
 }
 
 // UsableTargets returns the number of targets of a service to which requests
-// may be sent: those that are not leaving and whose data centre is in service
-// and reachable.
-func (f *Fleet) UsableTargets(service string) int {
+// may be sent: those that are not leaving, have not asked this VM to wait, and whose data
+// centre is in service and reachable. While all targets of the service are leaving,
+// those count that are usable as a last resort.
+func (f *Fleet) UsableTargets(service string, now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, t := range f.group(service).targets {
-		if !t.leaving && !f.outOfService[t.instance.DataCentre()] && !f.unreachable(t.instance.DataCentre()) {
+		if f.selectable(t, now) {
 			n++
 		}
 	}
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -15,7 +15,9 @@
 	// instance is the target's instance when the lease was granted. It does not
 	// change, so that it can be read without Fleet.mu.
 	instance discovery.Instance
-	kind     string
+	// run is the run of the target at that time.
+	run  int
+	kind string
 	// charged is true for an extra attempt that was charged to the retry
 	// budget.
 	charged bool
@@ -53,7 +55,7 @@
 // For a target with a slowdown above 1, the time after which its response is
 // overdue is multiplied by the slowdown. The caller holds f.mu.
 func (f *Fleet) grant(g *group, t *Target, kind string, charged bool, now time.Time) *Lease {
-	l := &Lease{fleet: f, target: t, instance: t.instance, kind: kind, charged: charged, sentAt: now, idleTimeout: f.idleTimeout(g, t)}
+	l := &Lease{fleet: f, target: t, instance: t.instance, run: t.run, kind: kind, charged: charged, sentAt: now, idleTimeout: f.idleTimeout(g, t)}
 	if stats := g.latency(kind); stats.known() {
 		l.overdueAt = now.Add(max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now))))
 	}
@@ -205,6 +207,9 @@
 		responseTime = l.streamingSince.Sub(l.sentAt)
 	}
 	l.recordResponse(responseTime, now)
+	if l.run == l.target.run && !l.target.waiting(now) {
+		l.target.resumes = false
+	}
 	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends = 0
 	l.target.group.addResponseTime(l.kind, responseTime)
 	l.release(now)
@@ -219,14 +224,16 @@
 	l.release(now)
 }
 
-// Refused ends a lease whose request the target refused. If leaving is true,
-// the target is shutting down and gets no more requests.
-func (l *Lease) Refused(leaving bool, now time.Time) {
+// Refused ends a lease whose request the target refused. If gone is true, another
+// instance has the address of the target, which gets no more requests.
+func (l *Lease) Refused(gone bool, now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	l.target.lastObservedAt = now
 	l.target.recordError()
-	l.target.leaving = l.target.leaving || leaving
+	if gone {
+		l.recordDeparture(true, now)
+	}
 	l.release(now)
 }
 
--- a/core/process/placement/placement_test.go
+++ b/core/process/placement/placement_test.go
@@ -331,12 +331,12 @@
 		}
 	}
 	failRemoteSends()
-	assert.Equal(t, f.UsableTargets("s-1"), 2, "messages from VMs of dc-2 still arrive")
+	assert.Equal(t, f.UsableTargets("s-1", start), 2, "messages from VMs of dc-2 still arrive")
 	f.SetLiveCentres(nil, start)
-	assert.Equal(t, f.UsableTargets("s-1"), 2-len(f.UnreachableCentres()))
+	assert.Equal(t, f.UsableTargets("s-1", start), 2-len(f.UnreachableCentres()))
 	assert.DeepEqual(t, f.UnreachableCentres(), []string{"dc-2"})
 	f.SetLiveCentres(map[string]bool{"dc-2": true}, start)
-	assert.Equal(t, f.UsableTargets("s-1"), 2)
+	assert.Equal(t, f.UsableTargets("s-1", start), 2)
 }
 
 func ExampleFleet_Acquire() {
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -64,9 +64,16 @@
 	group    *group
 	// rank is the preference of this VM for the target among those of the
 	// service; the highest is preferred.
-	rank    uint64
-	listed  bool
-	leaving bool
+	rank   uint64
+	listed bool
+	// departure is what is known of the end of the current run, and run counts the
+	// runs of the target that this VM has seen.
+	departure departure
+	run       int
+	// waitUntil is when the target wants requests from this VM again, and resumes is
+	// set until one has succeeded after that.
+	waitUntil time.Time
+	resumes   bool
 	// coldUntil is when the target stops being cold, zero if it never was.
 	coldUntil time.Time
 
@@ -109,20 +116,29 @@
 // ID returns the id of the target's instance.
 func (t *Target) ID() string { return t.id }
 
-// newTarget returns a target without history.
-func newTarget(i discovery.Instance, g *group, now time.Time) *Target {
-	t := &Target{id: i.ID(), group: g, rank: rendezvousRank(g.fleet.vm, i.ID()), inFlight: make(map[*Lease]struct{}), slowdown: 1}
-	t.update(i, now)
+// newTarget returns a target without history, apart from the departure of a run that
+// was seen before. readAt is when the list was read.
+func newTarget(i discovery.Instance, g *group, d departure, readAt, now time.Time) *Target {
+	t := &Target{id: i.ID(), group: g, rank: rendezvousRank(g.fleet.vm, i.ID()), inFlight: make(map[*Lease]struct{}), slowdown: 1, departure: d}
+	t.update(i, readAt, now)
 	return t
 }
 
-// update applies the listed state of the instance. Once the target is known to
-// be leaving it stays so: an older list must not undo it.
-func (t *Target) update(i discovery.Instance, now time.Time) {
+// update applies the state of the instance in a list that was read at readAt.
+func (t *Target) update(i discovery.Instance, readAt, now time.Time) {
 	newlyListed := !t.listed
 	t.instance = i
 	t.listed = true
-	t.leaving = t.leaving || i.Leaving()
+	departed := t.departure.known()
+	t.departure = t.departure.afterListing(i.Leaving(), readAt, t.group.fleet.times)
+	switch {
+	case !departed && t.departure.known():
+		t.group.fleet.addChange(NewTargetChange(t.id, TargetLeaves, 0))
+	case departed && !t.departure.known():
+		t.group.fleet.addChange(NewTargetChange(t.id, TargetReturns, 0))
+		t.startRun()
+		newlyListed = true
+	}
 	if i.ColdFor() > 0 {
 		if newlyListed {
 			t.slowdown = coldSlowdown
@@ -131,6 +147,21 @@
 	}
 }
 
+// startRun forgets what was observed of the previous run of the target.
+func (t *Target) startRun() {
+	t.run++
+	t.waitUntil = time.Time{}
+	t.resumes = false
+	t.slowdown = 1
+	t.slowSince = time.Time{}
+	t.errorRate = 0
+	t.lastObservedAt = time.Time{}
+	t.peerReport = peerFinding{}
+	t.downUntil = time.Time{}
+	t.consecutiveFailures = 0
+	t.reportedLoadAt = time.Time{}
+}
+
 // overdue reports whether this VM has a request in flight at the target whose
 // response has not begun by the overdueAt of its lease.
 func (t *Target) overdue(now time.Time) bool {
@@ -244,7 +275,11 @@
 // hasCapacity reports whether this VM may have another request in flight at the
 // target.
 func (t *Target) hasCapacity(now time.Time) bool {
-	return len(t.inFlight) < t.group.maxInFlight(t, now)
+	limit := t.group.maxInFlight(t, now)
+	if t.resuming(now) {
+		limit = min(limit, 1)
+	}
+	return len(t.inFlight) < limit
 }
 
 // hasColdCapacity reports whether the target may get another request in the
--- a/core/process/placement/warm.go
+++ b/core/process/placement/warm.go
@@ -36,7 +36,7 @@
 	var best *Target
 	usable := 0
 	for _, t := range g.targets {
-		if f.classify(t, now) != healthy || t.reportedUnhealthy(now) {
+		if f.classify(t, now) != healthy || t.reportedUnhealthy(now) || t.departure.known() {
 			continue
 		}
 		usable++
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -142,6 +142,59 @@
 // Waiting returns the number of requests that are queued at the target.
 func (l Load) Waiting() int { return l.waiting }
 
+// Notice is what a target says in a response about the requests that come after. The zero
+// value says nothing.
+type Notice struct {
+	leaving    bool
+	retryAfter time.Duration
+}
+
+// NewNotice returns what a target says: whether it is about to end, and the time for
+// which it wants no further request from this VM, 0 if it names none.
+func NewNotice(leaving bool, retryAfter time.Duration) Notice {
+	return Notice{leaving: leaving, retryAfter: retryAfter}
+}
+
+// Leaving reports whether the target is about to end.
+func (n Notice) Leaving() bool { return n.leaving }
+
+// RetryAfter returns the time for which the target wants no further request from this VM,
+// or 0 if it names none.
+func (n Notice) RetryAfter() time.Duration { return n.retryAfter }
+
+// NoticeOf returns what the target said in the response of an outcome, whether the
+// response is usable or not.
+func NoticeOf(outcome Outcome) Notice {
+	switch o := outcome.(type) {
+	case Answered:
+		return o.notice
+	case Declined:
+		return o.notice
+	case Lost:
+		return o.notice
+	case Unsent:
+	}
+	return Notice{}
+}
+
+// WithNotice returns a copy of the outcome with what the target said in the response.
+func (o Answered) WithNotice(n Notice) Answered {
+	o.notice = n
+	return o
+}
+
+// WithNotice returns a copy of the outcome with what the target said in the response.
+func (o Declined) WithNotice(n Notice) Declined {
+	o.notice = n
+	return o
+}
+
+// WithNotice returns a copy of the outcome with what the target said in the response.
+func (o Lost) WithNotice(n Notice) Lost {
+	o.notice = n
+	return o
+}
+
 // Outcome is the outcome of an attempt: Answered, Declined, Unsent or Lost.
 type Outcome interface{ outcome() }
 
@@ -150,13 +203,15 @@
 type Answered struct {
 	response *Response
 	load     Load
+	notice   Notice
 }
 
 // Declined means that the target did not run the request and will not run it.
 type Declined struct {
-	load    Load
-	leaving bool
-	reason  string
+	load        Load
+	misdirected bool
+	reason      string
+	notice      Notice
 }
 
 // Unsent means that no byte of the request was sent.
@@ -170,6 +225,7 @@
 type Lost struct {
 	err       error
 	overLimit bool
+	notice    Notice
 }
 
 // WithOverLimit returns a copy of the outcome that is marked if the target reset
@@ -218,9 +274,9 @@
 // Load returns the load that the target reported.
 func (o Declined) Load() Load { return o.load }
 
-// Leaving reports whether the target refuses every request because it is about
-// to shut down.
-func (o Declined) Leaving() bool { return o.leaving }
+// Misdirected reports whether the target at the address is not the instance that the
+// request names.
+func (o Declined) Misdirected() bool { return o.misdirected }
 
 func (Answered) outcome() {}
 func (Declined) outcome() {}
@@ -233,9 +289,10 @@
 	return Answered{response: r, load: load}
 }
 
-// NewDeclined returns the outcome of an attempt that the target refused.
-func NewDeclined(load Load, leaving bool, reason string) Declined {
-	return Declined{load: load, leaving: leaving, reason: reason}
+// NewDeclined returns the outcome of an attempt that the target refused. misdirected is
+// described at Misdirected.
+func NewDeclined(load Load, misdirected bool, reason string) Declined {
+	return Declined{load: load, misdirected: misdirected, reason: reason}
 }
 
 // NewUnsent returns the outcome of an attempt of which no byte was sent.
--- a/mulberrydale/routes/settings.go
+++ b/mulberrydale/routes/settings.go
@@ -18,6 +18,8 @@
 	defaultFurtherSendsRatio        = 0.1
 	defaultFurtherSendsWindowMillis = 10_000
 	defaultColdOverage              = 1.0
+	defaultListLagMillis            = 1000
+	defaultDrainTimeoutMillis       = 3000
 	defaultMetricsAddress           = "127.0.0.1:9464"
 	maxLosses                       = 1000
 	maxRatio                        = 100
@@ -35,6 +37,9 @@
 	root := doc.Root()
 	s := host.NewSettings(root.String("vm"), root.String("data-centre"), decodeMetricsAddress(root)).
 		WithGracePeriod(time.Duration(root.IntOr("grace-ms", 0, maxMillis, defaultGraceMillis))*time.Millisecond).
+		WithTargetTimes(placement.NewTargetTimes(
+			time.Duration(root.IntOr("list-lag-ms", 0, maxMillis, defaultListLagMillis))*time.Millisecond,
+			time.Duration(root.IntOr("drain-timeout-ms", 0, maxMillis, defaultDrainTimeoutMillis))*time.Millisecond)).
 		WithSeeds(decodeSeeds(doc, root), root.BoolOr("first-start", false)).
 		WithTargets(root.Address("targets-address"), decodePlacementLimits(root))
 	if root.Has("callers-address") {
