placement: a process starts with little of the retry budget, and none of the slack alone

Cause: what a killed process had used of its ratio was forgotten while it still counted; and a process took itself for the only VM until it knew better.

Fix: 0.15 of the ratio in the first window; no slack before the number of VMs is known; control VMs count an entry VM for 3 s after its last presence. The hedge test and the gateway's now state how many VMs there are.

--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -134,8 +134,10 @@
 	// sentUnhealthy has the ids of the targets that were unhealthy in the findings that
 	// this control VM sent last.
 	sentUnhealthy map[string]bool
-	// dataCentreSeen is when the last presence came from each data centre.
+	// dataCentreSeen is when the last presence came from each data centre, and
+	// entryVMSeen from each entry VM.
 	dataCentreSeen map[string]time.Time
+	entryVMSeen    map[string]time.Time
 }
 
 // New returns the cluster of the process self. The seeds are the addresses of the
@@ -152,6 +154,7 @@
 		sessions:       make(map[*session.Session]*peerState),
 		health:         health.NewTable(),
 		dataCentreSeen: make(map[string]time.Time),
+		entryVMSeen:    make(map[string]time.Time),
 	}
 }
 
@@ -209,17 +212,20 @@
 }
 
 // EntryVMs returns the number of entry VMs, at least 1. It is the highest of the
-// numbers that the live control VMs report and that this process counts itself.
-func (c *Cluster) EntryVMs(now time.Time) int {
+// numbers that the live control VMs report and that this process counts itself. It is
+// not known on an entry VM without a session to a live control VM.
+func (c *Cluster) EntryVMs(now time.Time) (count int, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	count := max(1, c.countEntryVMs(now))
+	count = max(1, c.countEntryVMs(now))
+	known = c.control != nil
 	for _, r := range c.sessions {
-		if r.alive(now) {
+		if r.alive(now) && r.presence.Address() != "" {
 			count = max(count, r.presence.EntryVMCount())
+			known = true
 		}
 	}
-	return count
+	return count, known
 }
 
 // dataCentreTimeout is the time without a presence after which a data centre
@@ -240,16 +246,20 @@
 	return out
 }
 
-// countEntryVMs returns the number of live entry VMs with a session to this
-// process. The caller holds mu.
+// entryVMMemory is how long an entry VM counts after its last presence. It is longer than
+// a restart takes: the VMs that return after many were killed must not take the shares of
+// those that have not returned yet.
+const entryVMMemory = 3 * time.Second
+
+// countEntryVMs returns the number of entry VMs from which this process has received a
+// presence within entryVMMemory. The caller holds mu.
 func (c *Cluster) countEntryVMs(now time.Time) int {
-	vms := make(map[string]bool)
-	for _, r := range c.sessions {
-		if r.alive(now) && r.presence.Address() == "" {
-			vms[r.presence.VM()] = true
+	for vm, at := range c.entryVMSeen {
+		if now.Sub(at) > entryVMMemory {
+			delete(c.entryVMSeen, vm)
 		}
 	}
-	return len(vms)
+	return len(c.entryVMSeen)
 }
 
 // alive reports whether a presence was received within peerTimeout.
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -94,6 +94,9 @@
 		c.reportedEntryVMs = max(1, p.EntryVMCount())
 	}
 	c.dataCentreSeen[p.DataCentre()] = now
+	if p.Address() == "" {
+		c.entryVMSeen[p.VM()] = now
+	}
 	number, _ := p.List()
 	c.highestListNumber = max(c.highestListNumber, number)
 	if link := c.controlLinks[p.Address()]; link != nil {
--- a/core/process/cluster/unchanged_test.go
+++ b/core/process/cluster/unchanged_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -63,7 +64,8 @@
 	now := time.Now()
 	for _, name := range []string{"entry-0", "entry-1", "entry-2"} {
 		c := in.processes[name].cluster
-		assert.Equal(t, c.EntryVMs(now), 3, name)
+		count, known := c.EntryVMs(now)
+		assert.Assert(t, known && count == 3, "%s: %d %t", name, count, known)
 		assert.Assert(t, c.ReachableDataCentres(now)["dc-1"], name)
 	}
 	in.processes["entry-2"].stop()
@@ -78,9 +80,41 @@
 func waitForEntryVMs(t *testing.T, c *cluster.Cluster, n int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if known := c.EntryVMs(time.Now()); known != n {
-			return poll.Continue("%d entry VMs, not %d", known, n)
+		if count, known := c.EntryVMs(time.Now()); !known || count != n {
+			return poll.Continue("%d entry VMs, not %d", count, n)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
 }
+
+// Guards against VMs that are killed together and return one after the other, of which the
+// first would divide the limits for all VMs among too few.
+func TestEntryVMsCountForSomeTimeAfterTheyEnded(t *testing.T) {
+	in := newInstallation(t, 3, 3)
+	in.publish("control-0", 1)
+	in.waitForVersion(1)
+	waitForEntryVMs(t, in.processes["entry-0"].cluster, 3)
+	for _, name := range []string{"entry-1", "entry-2"} {
+		in.processes[name].stop()
+		delete(in.processes, name)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	in.start("entry-3", "", true)
+	var count int
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var known bool
+		if count, known = in.processes["entry-3"].cluster.EntryVMs(time.Now()); !known {
+			return poll.Continue("not known")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	assert.Assert(t, count >= 3, "%d", count)
+}
+
+// An entry VM that reaches no control VM does not know how many there are. It must not
+// take itself for the only one.
+func TestEntryVMsAreNotKnownWithoutAControlVM(t *testing.T) {
+	c := cluster.New(cluster.NewIdentity("entry-0", "", "dc-1", "s", false), []string{"127.0.0.1:1"}, nil, nil, zap.NewNop())
+	_, known := c.EntryVMs(time.Now())
+	assert.Assert(t, !known)
+}
--- a/core/process/dispatch/hedge_test.go
+++ b/core/process/dispatch/hedge_test.go
@@ -39,6 +39,7 @@
 				f := placement.NewFleet("vm-1", "dc-1", placement.NewLimits(0.2, 20, 10*time.Second, 1.5, 5), time.Now().Add(-time.Minute))
 				d := New(f, fixedDelay{delay: tt.delay})
 				d.SetTable(routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(0), routing.Limits{}))
+				f.SetEntryVMs(1, time.Now())
 				f.SetTargets(list, time.Now())
 				r := relay.NewRequest("id", "GET", "h", "/", "/", nil, nil, time.Now().Add(-30*time.Millisecond)).WithTimeout(600 * time.Millisecond)
 				_, trace := d.Answer(t.Context(), r)
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -192,14 +192,16 @@
 	}
 }
 
-// updateMembership passes the number of entry VMs and the reachable data centres
-// from the cluster to the fleet. The fleet derives the share of this VM in the
+// updateMembership passes the number of entry VMs, if it is known, and the reachable
+// data centres from the cluster to the fleet. The fleet derives the share of this VM in the
 // connections and limits of each target from the number of entry VMs. If data
 // centres are unreachable and dispatch.Dispatcher.Servable reports false, the VM
 // is isolated: its readiness check fails, so that the load balancer sends
 // callers to VMs in other data centres.
 func (e *Entry) updateMembership(now time.Time) {
-	e.fleet.SetEntryVMs(e.cluster.EntryVMs(now), now)
+	if n, known := e.cluster.EntryVMs(now); known {
+		e.fleet.SetEntryVMs(n, now)
+	}
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
 	e.logTargetChanges()
--- a/core/process/gateway/wire_test.go
+++ b/core/process/gateway/wire_test.go
@@ -116,7 +116,9 @@
 // attempts, plus 0.2 per first attempt, within 10 seconds.
 func newTestEntry(telemetry *Telemetry, slack float64) *Entry {
 	limits := placement.NewLimits(0.2, slack, 10*time.Second, 1.5, 5)
-	return NewEntry("vm-1", "dc-1", limits, names, nil, telemetry, zap.NewNop())
+	e := NewEntry("vm-1", "dc-1", limits, names, nil, telemetry, zap.NewNop())
+	e.fleet.SetEntryVMs(1, time.Now())
+	return e
 }
 
 // send sends a request with a deadline of 900 ms and returns the response and
--- a/core/process/placement/budget.go
+++ b/core/process/placement/budget.go
@@ -24,6 +24,9 @@
 	// initialSlackFraction is the fraction of its slack that a process may use
 	// when it starts.
 	initialSlackFraction = 0.4
+	// initialRatioFraction is the fraction of the allowed ratio that a process uses in
+	// its first window. It is enough for the hedges of a calm time.
+	initialRatioFraction = 0.15
 )
 
 // retryBudget limits the extra attempts (retries and hedges) to a ratio of the
@@ -94,17 +97,33 @@
 	return slackMargin * b.slack / float64(vms) * (initialSlackFraction + (1-initialSlackFraction)*windowFraction)
 }
 
+// ratioShare returns the ratio of extra to first attempts that this VM may use. A process
+// that ran on this VM before may have used the extra attempts for a whole window of its
+// own first attempts just before it was killed. They count for the monitor until they have
+// left the window, so that the first window of this process has little left.
+func (b *retryBudget) ratioShare(now time.Time) float64 {
+	if now.Sub(b.startedAt) < b.window {
+		return ratioMargin * b.ratio * initialRatioFraction
+	}
+	return ratioMargin * b.ratio
+}
+
 // tryTake counts an extra attempt and returns true if the budget allows one.
-// The slack is divided equally among the number of VMs given by vms.
-func (b *retryBudget) tryTake(vms int, now time.Time) bool {
+// The slack is divided equally among the number of VMs given by vms. While that number
+// is not known, none of the slack is used: of VMs that start together each would take
+// all of it.
+func (b *retryBudget) tryTake(vms int, known bool, now time.Time) bool {
 	bucket := b.advance(now)
 	firsts, extras := 0, 0
 	for i := range storedBuckets {
 		firsts += b.firsts[i]
 		extras += b.extras[i]
 	}
-	allowed := int(ratioMargin*b.ratio*float64(firsts) + b.slackShare(vms, now) + b.roundingOffset)
-	if extras >= allowed {
+	allowed := b.ratioShare(now) * float64(firsts)
+	if known {
+		allowed += b.slackShare(vms, now) + b.roundingOffset
+	}
+	if extras >= int(allowed) {
 		return false
 	}
 	b.extras[bucket]++
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -64,7 +64,7 @@
 	changes      []TargetChange
 	outOfService map[string]bool
 	reachability map[string]*centreReachability
-	// entryVMs is the number of VMs that share the targets.
+	// entryVMs is the number of VMs that share the targets, 1 while it is not known.
 	entryVMs int
 	// entryVMsSetAt is when SetEntryVMs last took effect, which is when entryVMs
 	// VMs were last known to run.
@@ -162,6 +162,13 @@
 	return max(1, int(totalLimit/float64(g.fleet.entryVMs)/2))
 }
 
+// limitShares returns the number of VMs among which a limit for all of them is divided, or
+// false before it is known: this VM must then assume that the others use all of it. The
+// caller holds f.mu.
+func (f *Fleet) limitShares() (vms int, known bool) {
+	return f.entryVMs, !f.entryVMsSetAt.IsZero()
+}
+
 // SetEntryVMs sets the number of VMs that share the targets. A number below 1
 // counts as 1. A lower number than the current one is ignored until vmCountHold
 // after the last call that took effect, because VMs from which no messages
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -108,7 +108,7 @@
 		}
 	}
 	t := f.choose(g, r.kind, r.tried, now)
-	if t == nil || r.charged && !g.budget.tryTake(f.entryVMs, now) {
+	if t == nil || r.charged && !f.takeExtra(g, now) {
 		return nil, false
 	}
 	if !r.charged && len(r.tried) == 0 {
@@ -117,6 +117,13 @@
 	return f.grant(g, t, r.kind, r.charged, now), true
 }
 
+// takeExtra counts an extra attempt and returns true if the retry budget of the service
+// allows one. The caller holds f.mu.
+func (f *Fleet) takeExtra(g *group, now time.Time) bool {
+	vms, known := f.limitShares()
+	return g.budget.tryTake(vms, known, now)
+}
+
 // Enqueue adds a first attempt to the queue of its service. Its lease is sent
 // to notify, which must be buffered, when a target has capacity left. Lower
 // values of priority are served first.
--- a/mulberrydale/routes/settings.go
+++ b/mulberrydale/routes/settings.go
@@ -39,7 +39,7 @@
 		WithGracePeriod(time.Duration(root.IntOr("grace-ms", 0, maxMillis, defaultGraceMillis))*time.Millisecond).
 		WithTargetTimes(placement.NewTargetTimes(
 			time.Duration(root.IntOr("list-lag-ms", 0, maxMillis, defaultListLagMillis))*time.Millisecond,
-			time.Duration(root.IntOr("drain-timeout-ms", 0, maxMillis, defaultDrainTimeoutMillis))*time.Millisecond)).
+			time.Duration(root.IntOr("target-drain-ms", 0, maxMillis, defaultDrainTimeoutMillis))*time.Millisecond)).
 		WithSeeds(decodeSeeds(doc, root), root.BoolOr("first-start", false)).
 		WithTargets(root.Address("targets-address"), decodePlacementLimits(root))
 	if root.Has("callers-address") {
