--- a/core/process/journal/journal.go
+++ b/core/process/journal/journal.go
@@ -1,7 +1,7 @@
 // Package journal stores records in a file in a data folder. Each record has
 // a header with its length and checksum, and is synced before Append returns.
 // Open truncates a record at the end that was torn by a crash; a damaged record
-// before intact ones is an error.
+// before intact ones is an error. The records that Open returns are synced too.
 package journal
 
 import (
@@ -41,9 +41,14 @@
 // Open opens the journal in a folder and returns its records. The folder and the
 // file are created if they are missing. The error is JournalDamaged if a damaged
 // record precedes intact ones, FolderUnusable if the folder or the file can't be
-// opened, read or synced, and JournalUnusable if a torn record can't be truncated
-// or the write position can't be set.
+// opened or read or the folder can't be synced, and JournalUnusable if a torn record
+// can't be truncated, the file can't be synced or the write position can't be set.
 func Open(folder string) (*Journal, [][]byte, error) {
+	return open(folder, (*os.File).Sync)
+}
+
+// open opens the journal in a folder, whose file is synced by syncFile.
+func open(folder string, syncFile func(*os.File) error) (*Journal, [][]byte, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, nil, result.Wrap(err, result.FolderUnusable, "failed to create the data folder")
 	}
@@ -65,6 +70,11 @@
 	if err := j.truncateTail(int64(len(data))); err != nil {
 		return nil, nil, err
 	}
+	// A process that was killed between a write and its sync leaves records that a
+	// loss of power takes away. Whoever acknowledges them now must have synced them.
+	if err := syncFile(file); err != nil {
+		return nil, nil, result.Wrap(err, result.JournalUnusable, "failed to sync the records of an earlier process")
+	}
 	return j, records, syncFolder(folder)
 }
 
@@ -118,16 +128,14 @@
 	return false
 }
 
-// truncateTail removes the bytes after the intact records and moves the write
-// position to the end of these records. length is the current length of the file.
+// truncateTail removes the bytes after the intact records, without a sync, and moves
+// the write position to the end of these records. length is the current length of the
+// file.
 func (j *Journal) truncateTail(length int64) error {
 	if length > j.size {
 		if err := j.file.Truncate(j.size); err != nil {
 			return result.Wrap(err, result.JournalUnusable, "failed to truncate the torn record at the end of the journal")
 		}
-		if err := j.file.Sync(); err != nil {
-			return result.Wrap(err, result.JournalUnusable, "failed to sync the truncated journal")
-		}
 	}
 	if _, err := j.file.Seek(j.size, io.SeekStart); err != nil {
 		return result.Wrap(err, result.JournalUnusable, "failed to seek to the end of the journal")
