replica: a voter that hears no leader asks to be added again

What was seen: a control VM that was cut off for 5.5 s while a spare one was there was replaced, was not told, and had no leader from then on, not even after a restart. The installation bears fewer losses than it has VMs for.

Cause: a VM that takes itself for a voter never asks to join. The others send it neither entries nor votes.

Evidence: TestVoterReplacedWhileCutOffJoinsAgain failed before, "no leader after the cut has ended". The random faults of TestVoterSetChangesUnderRandomFaults did not find it, even with the new check that all VMs follow the leader in the end.

Ruled out: the sessions (requests to that VM were answered through the leader).

Fix: a voter without a leader for 1.5 s asks as well; a leader that still counts it ignores it.

--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -289,11 +289,11 @@
 }
 
 // bootstrapOrJoin bootstraps the log, or sends the VMs that have it a request
-// to join. Only the VM with the lowest member name bootstraps, and only after
+// to join if replica.Node.ShouldJoin says so. Only the VM with the lowest member name bootstraps, and only after
 // all expected control VMs have reported that they have no log: a VM that lost
 // its disk must not bootstrap a second log.
 func (c *Control) bootstrapOrJoin(now time.Time) {
-	if c.node.Voters().Has(c.self.ID()) || now.Sub(c.lastJoinAt) < joinInterval {
+	if !c.node.ShouldJoin(now) || now.Sub(c.lastJoinAt) < joinInterval {
 		return
 	}
 	c.lastJoinAt = now
--- a/core/process/replica/cluster_test.go
+++ b/core/process/replica/cluster_test.go
@@ -352,12 +352,12 @@
 	}
 }
 
-// join sends a join request from each responsive VM that is not a voter to every
-// other running VM that is bootstrapped, as core/process/control does repeatedly.
+// join sends a join request from each responsive VM that should join to every other
+// running VM that is bootstrapped, as core/process/control does repeatedly.
 func (c *cluster) join() {
 	for _, name := range c.vmNames {
 		m := c.vms[name]
-		if !c.responsive(m) || m.node.Voters().Has(m.id) {
+		if !c.responsive(m) || !m.node.ShouldJoin(c.now) {
 			continue
 		}
 		for _, other := range c.vmNames {
--- a/core/process/replica/membership.go
+++ b/core/process/replica/membership.go
@@ -96,3 +96,18 @@
 	term, ok := n.log.term(n.commitIndex)
 	return changeIndex <= n.commitIndex && ok && term == n.hardState.term
 }
+
+// rejoinAfter is how long a voter waits for a leader before it asks to be added again.
+// Elections are shorter.
+const rejoinAfter = 1500 * time.Millisecond
+
+// ShouldJoin reports whether the replica should ask the others to add it: it is not a
+// voter, or takes itself for one but hears no leader. The others may have replaced it
+// while it could not hear them, and neither a vote nor an entry reaches it then. A
+// leader that still counts it as a voter ignores the request.
+func (n *Node) ShouldJoin(now time.Time) bool {
+	if !n.Voters().Has(n.self.id) {
+		return true
+	}
+	return n.role != Leader && now.Sub(n.leaderContactAt) > rejoinAfter
+}
--- a/core/process/replica/membership_test.go
+++ b/core/process/replica/membership_test.go
@@ -169,6 +169,11 @@
 			return fmt.Sprintf("voter %s is an earlier incarnation of its VM", v.vm)
 		}
 	}
+	for _, name := range c.vmNames {
+		if followed, ok := c.vms[name].node.Leader(); !ok || followed.vm != leader.name {
+			return name + " has no leader, or another one"
+		}
+	}
 	return c.violation
 }
 
@@ -223,3 +228,40 @@
 		})
 	}
 }
+
+// Guards against a voter that was replaced while it was cut off, was not told, and takes
+// itself for a voter for ever: it gets no vote, no entry, and asks nobody to add it.
+func TestVoterReplacedWhileCutOffJoinsAgain(t *testing.T) {
+	c := newClusterWithVMs([]string{"vm-1", "vm-2", "vm-3", "vm-4"}, 3, 1, injectedBugs{})
+	settle := func() {
+		for range 30 {
+			c.join()
+			c.advance(250 * time.Millisecond)
+		}
+	}
+	settle()
+	leader := c.leader()
+	assert.Assert(t, leader != nil)
+	var removed *simulatedVM
+	for _, m := range leader.node.Voters().members {
+		if m.id != leader.id {
+			removed = c.vms[m.vm]
+		}
+	}
+	for _, other := range c.vmNames {
+		c.blockedLinks[removed.name+">"+other] = true
+		c.blockedLinks[other+">"+removed.name] = true
+	}
+	settle()
+	assert.Assert(t, !c.leader().node.Voters().Has(removed.id), "the voter was not replaced")
+	clear(c.blockedLinks)
+	settle()
+	followed, ok := removed.node.Leader()
+	assert.Assert(t, ok && followed.vm == c.leader().name, "no leader after the cut has ended")
+	assert.Assert(t, !removed.node.Voters().Has(removed.id), "it still takes itself for a voter")
+	// It is a spare VM again and replaces a voter that is lost.
+	c.crash(c.leader().name, false)
+	settle()
+	assert.Assert(t, c.leader() != nil)
+	assert.Assert(t, c.leader().node.Voters().Has(removed.id))
+}
