placement: what a first attempt allows grows over the first window of a process

What was wrong: the step at the end of the first window let a VM send at once what its first attempts had allowed until then.

Fix: each first attempt adds to the budget what it allows at its own time.

--- a/core/process/placement/budget.go
+++ b/core/process/placement/budget.go
@@ -24,8 +24,10 @@
 	// initialSlackFraction is the fraction of its slack that a process may use
 	// when it starts.
 	initialSlackFraction = 0.4
-	// initialRatioFraction is the fraction of the allowed ratio that a process uses in
-	// its first window. It is enough for the hedges of a calm time.
+	// summationError is more than the rounding error of the sum over all buckets.
+	summationError = 1e-6
+	// initialRatioFraction is the fraction of the allowed ratio that a process may use
+	// when it starts. It is enough for a part of the hedges of a calm time.
 	initialRatioFraction = 0.15
 )
 
@@ -37,11 +39,12 @@
 	ratio  float64
 	slack  float64
 	window time.Duration
-	// firsts and extras hold the numbers of first and extra attempts for each
-	// of the latest storedBuckets buckets. Bucket n is stored at index n modulo
-	// storedBuckets.
+	// firsts and extras hold the numbers of first and extra attempts, and earned the
+	// extra attempts that the first ones allow, for each of the latest storedBuckets
+	// buckets. Bucket n is stored at index n modulo storedBuckets.
 	firsts [storedBuckets]int
 	extras [storedBuckets]int
+	earned [storedBuckets]float64
 	// lastBucket is the number of the latest bucket, counted from the Unix
 	// epoch.
 	lastBucket int64
@@ -67,15 +70,18 @@
 	for n := max(b.lastBucket, bucket-storedBuckets) + 1; n <= bucket; n++ {
 		b.firsts[n%storedBuckets] = 0
 		b.extras[n%storedBuckets] = 0
+		b.earned[n%storedBuckets] = 0
 	}
 	b.lastBucket = max(b.lastBucket, bucket)
 	return b.lastBucket % storedBuckets
 }
 
 // countFirst counts the first attempt of a request. Each one raises the number
-// of extra attempts allowed within the window by ratioMargin * ratio.
+// of extra attempts allowed within the window by ratioShare.
 func (b *retryBudget) countFirst(now time.Time) {
-	b.firsts[b.advance(now)]++
+	bucket := b.advance(now)
+	b.firsts[bucket]++
+	b.earned[bucket] += b.ratioShare(now)
 }
 
 // firstInterval returns the mean time between two first attempts within the window,
@@ -93,19 +99,21 @@
 // initialSlackFraction to the whole share over the first window of the process,
 // because the VM may have used its share just before a restart.
 func (b *retryBudget) slackShare(vms int, now time.Time) float64 {
-	windowFraction := min(1, float64(now.Sub(b.startedAt))/float64(b.window))
-	return slackMargin * b.slack / float64(vms) * (initialSlackFraction + (1-initialSlackFraction)*windowFraction)
+	return slackMargin * b.slack / float64(vms) * (initialSlackFraction + (1-initialSlackFraction)*b.windowFraction(now))
 }
 
-// ratioShare returns the ratio of extra to first attempts that this VM may use. A process
+// ratioShare returns the extra attempts that a first attempt allows. A process
 // that ran on this VM before may have used the extra attempts for a whole window of its
 // own first attempts just before it was killed. They count for the monitor until they have
-// left the window, so that the first window of this process has little left.
+// left the window, so that the first attempts of a new process allow little at first.
 func (b *retryBudget) ratioShare(now time.Time) float64 {
-	if now.Sub(b.startedAt) < b.window {
-		return ratioMargin * b.ratio * initialRatioFraction
-	}
-	return ratioMargin * b.ratio
+	return ratioMargin * b.ratio * (initialRatioFraction + (1-initialRatioFraction)*b.windowFraction(now))
+}
+
+// windowFraction returns the part of the first window of the process that has passed, 1
+// after it.
+func (b *retryBudget) windowFraction(now time.Time) float64 {
+	return min(1, float64(now.Sub(b.startedAt))/float64(b.window))
 }
 
 // tryTake counts an extra attempt and returns true if the budget allows one.
@@ -114,16 +122,15 @@
 // all of it.
 func (b *retryBudget) tryTake(vms int, known bool, now time.Time) bool {
 	bucket := b.advance(now)
-	firsts, extras := 0, 0
+	extras, allowed := 0, 0.0
 	for i := range storedBuckets {
-		firsts += b.firsts[i]
 		extras += b.extras[i]
+		allowed += b.earned[i]
 	}
-	allowed := b.ratioShare(now) * float64(firsts)
 	if known {
 		allowed += b.slackShare(vms, now) + b.roundingOffset
 	}
-	if extras >= int(allowed) {
+	if extras >= int(allowed+summationError) {
 		return false
 	}
 	b.extras[bucket]++
