placement: many VMs stay within the limit of a cold target without talking

What was wrong: each VM sent a cold target one request a second at least, 300 VMs together 300, whatever the target bears.

Cause: the share was rounded up to one.

Evidence: TestManyVMsStayWithinTheLimitOfAColdTarget on the code before failed with 30 VMs and more (and with 9 VMs at 12 a second held).

Fix: where there are fewer requests than VMs, each VM decides by its own rank for the target whether it is one of a few that send one request in 1.2 s. No VM sends before the number of VMs is known. The limit of cold targets moves to a file of its own.

Ruled out: the second that is counted (halved before, as now).

--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -147,21 +147,6 @@
 	g.fleet.latencies[kind].add(responseTime)
 }
 
-// coldLimit returns how many requests this VM may send to a cold target in one
-// second of its clock, or -1 for no limit.
-func (g *group) coldLimit() int {
-	rate := g.declared.MaxColdRate()
-	if rate <= 0 {
-		return -1
-	}
-	l := g.fleet.limits
-	totalLimit := (rate*l.coldOverage + l.coldSlack) * l.coldLimitFraction
-	// Halved because any second that the target or a monitor measures may
-	// overlap two seconds of this VM's clock, each with its full number of
-	// requests.
-	return max(1, int(totalLimit/float64(g.fleet.entryVMs)/2))
-}
-
 // limitShares returns the number of VMs among which a limit for all of them is divided, or
 // false before it is known: this VM must then assume that the others use all of it. The
 // caller holds f.mu.
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -61,7 +61,7 @@
 	}
 	t.inFlight[l] = struct{}{}
 	t.lastSentAt = now
-	t.countColdSend(now)
+	t.sends.add(now)
 	return l
 }
 
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -107,10 +107,9 @@
 	// last reported, without those in flight from this VM.
 	reportedLoad   float64
 	reportedLoadAt time.Time
-	// coldSends counts the requests that this VM sent in coldSecond, a Unix
-	// time in seconds. They are counted even if the target is not cold.
-	coldSecond int64
-	coldSends  int
+	// sends counts the requests of this VM for the limit on cold targets, also while
+	// the target is not cold.
+	sends coldSends
 }
 
 // ID returns the id of the target's instance.
@@ -281,23 +280,3 @@
 	}
 	return len(t.inFlight) < limit
 }
-
-// hasColdCapacity reports whether the target may get another request in the
-// current second. It is always true if the target is not cold or its service
-// declares no limit for cold targets.
-func (t *Target) hasColdCapacity(now time.Time) bool {
-	limit := t.group.coldLimit()
-	if limit < 0 || !now.Before(t.coldUntil) {
-		return true
-	}
-	return t.coldSecond != now.Unix() || t.coldSends < limit
-}
-
-// countColdSend counts a request sent in the current second.
-func (t *Target) countColdSend(now time.Time) {
-	if t.coldSecond != now.Unix() {
-		t.coldSecond = now.Unix()
-		t.coldSends = 0
-	}
-	t.coldSends++
-}
