platform: metrics are served at the address of the machine

Two processes could not run on one machine at different addresses, because both took port 9464 of all of them.

--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -116,6 +116,9 @@
 // OperatorsAddress returns the address on which operators are answered.
 func (s Settings) OperatorsAddress() string { return s.operatorsAddress }
 
+// MetricsAddress returns the address on which the metrics are served.
+func (s Settings) MetricsAddress() string { return s.metricsAddress }
+
 // SessionsAddress returns the address on which a control VM accepts the
 // sessions of other VMs.
 func (s Settings) SessionsAddress() string { return s.sessionsAddress }
