--- a/core/process/dispatch/replay_test.go
+++ b/core/process/dispatch/replay_test.go
@@ -189,8 +189,10 @@
 	failed  int
 	hedges  int
 	retries int
-	// longestRefusal is the longest time until a refused or failed answer.
+	// longestRefusal is the longest time until a refused or failed answer, and
+	// longestNotRun until a refused one.
 	longestRefusal time.Duration
+	longestNotRun  time.Duration
 }
 
 // add counts an answer. A merged answer earns the square of the fraction of
@@ -213,6 +215,7 @@
 	case relay.Refused:
 		if a.Code().Execution() == result.NotRun {
 			t.refused++
+			t.longestNotRun = max(t.longestNotRun, took)
 		} else {
 			t.failed++
 		}
@@ -230,6 +233,7 @@
 	t.hedges += other.hedges
 	t.retries += other.retries
 	t.longestRefusal = max(t.longestRefusal, other.longestRefusal)
+	t.longestNotRun = max(t.longestNotRun, other.longestNotRun)
 }
 
 func (t *replayStats) String() string {
