placement: the last resort ends before the drain timeout that the list started

What would break: all targets of a service leave while this VM gets no list for two seconds, or it has just started. It counted the drain timeout from the read in which it saw them leaving, and so sent requests up to two seconds after it.

Cause: the time runs from the moment when the list shows it, which lies after the read before.

Fix: a departure keeps the read before as its earliest time; a target that was leaving when this VM first saw it is no last resort. The limit moves from a half to three quarters of the timeout, since it is now counted from the earliest time.

--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -124,6 +124,7 @@
 // are still listed, which matters if a target is known to be leaving.
 func (e *Entry) TargetsRead(list discovery.List, changed bool, now time.Time) {
 	if !changed && !e.fleet.HasDepartures() {
+		e.fleet.ConfirmTargets(list.ReadAt())
 		return
 	}
 	e.pool.CloseAddresses(e.fleet.SetTargets(list, now))
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -57,9 +57,11 @@
 	groups map[string]*group
 	// latencies holds the response times of each kind of request to all services
 	// together.
-	latencies    map[string]*latency
-	byID         map[string]*Target
-	departed     map[string]departed
+	latencies map[string]*latency
+	byID      map[string]*Target
+	departed  map[string]departed
+	// listReadAt is when the latest list was read.
+	listReadAt   time.Time
 	times        TargetTimes
 	changes      []TargetChange
 	outOfService map[string]bool
@@ -234,6 +236,7 @@
 			unusedAddresses = append(unusedAddresses, t.instance.Address())
 		}
 	}
+	f.listReadAt = list.ReadAt()
 	f.grantAllWaiting(now)
 	return unusedAddresses
 }
@@ -244,7 +247,7 @@
 func (f *Fleet) upsert(i discovery.Instance, readAt, now time.Time) (replaced *Target) {
 	t := f.byID[i.ID()]
 	if t != nil && t.instance.Service() == i.Service() && t.instance.Address() == i.Address() {
-		t.update(i, readAt, now)
+		t.update(i, readAt, f.listReadAt, now)
 		return nil
 	}
 	if t != nil {
--- a/core/process/placement/leaving.go
+++ b/core/process/placement/leaving.go
@@ -10,9 +10,9 @@
 	// target was removed from the list.
 	departureMemory = time.Minute
 	// lastResortFraction is the fraction of the drain timeout for which a leaving
-	// target is used if its service has no other one. The rest allows for the time
-	// from the first sign until this VM learned of it.
-	lastResortFraction = 0.5
+	// target is used if its service has no other one. The rest is for requests under
+	// way.
+	lastResortFraction = 0.75
 )
 
 // TargetTimes holds the times that the platform states for all targets.
@@ -31,8 +31,11 @@
 // departure is what is known of the end of one run of a target. The zero value means
 // that the run is not known to end.
 type departure struct {
-	// since is the time of the first sign that the run ends.
-	since time.Time
+	// since is the time of the first sign that the run ends. earliest is a time before
+	// which the run was certainly not known to end, so that the drain timeout has not
+	// passed sooner than that after it.
+	since    time.Time
+	earliest time.Time
 	// gone is set if another instance, or none, answers at the address.
 	gone bool
 }
@@ -45,6 +48,7 @@
 func (d departure) afterSign(gone bool, now time.Time) departure {
 	if !d.known() {
 		d.since = now
+		d.earliest = now
 	}
 	d.gone = d.gone || gone
 	return d
@@ -53,22 +57,34 @@
 // afterListing returns the departure after the target was read from the list, as leaving
 // or not. A target that is not leaving there is a new run only if the list shows its state
 // at a time after the first sign. The list shows a state that is listLag old at most, and
-// the time of the read may be off by maxListDelay; an older list changes nothing.
-func (d departure) afterListing(leaving bool, readAt time.Time, times TargetTimes) departure {
+// the time of the read may be off by maxListDelay; an older list changes nothing. The
+// read before, in which the target was not leaving, was at previousReadAt, which is zero
+// if the target was not listed there.
+func (d departure) afterListing(leaving bool, readAt, previousReadAt time.Time, times TargetTimes) departure {
 	switch {
-	case leaving && (!d.known() || readAt.Before(d.since)):
-		d.since = readAt
+	case leaving && !d.known():
+		return departure{since: readAt, earliest: previousReadAt}
+	case leaving:
+		d.since = earlier(d.since, readAt)
+		d.earliest = earlier(d.earliest, previousReadAt)
 		return d
-	case leaving || !d.known() || !readAt.After(d.since.Add(times.listLag+maxListDelay)):
+	case !d.known() || !readAt.After(d.since.Add(times.listLag+maxListDelay)):
 		return d
 	}
 	return departure{}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // usableAsLastResort reports whether the run may still get requests if the service has no
 // target that stays.
 func (d departure) usableAsLastResort(times TargetTimes, now time.Time) bool {
-	return !d.gone && now.Before(d.since.Add(time.Duration(lastResortFraction*float64(times.drainTimeout))))
+	return !d.gone && now.Before(d.earliest.Add(time.Duration(lastResortFraction*float64(times.drainTimeout))))
 }
 
 // departed is the departure of a target that was removed from the list.
@@ -103,6 +119,14 @@
 	return d.departure
 }
 
+// ConfirmTargets records that a list which was read at a time has the same targets, in the
+// same states, as the last one.
+func (f *Fleet) ConfirmTargets(readAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listReadAt = readAt
+}
+
 // HasDepartures reports whether a listed target is known to be leaving.
 func (f *Fleet) HasDepartures() bool {
 	f.mu.Lock()
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -119,17 +119,18 @@
 // was seen before. readAt is when the list was read.
 func newTarget(i discovery.Instance, g *group, d departure, readAt, now time.Time) *Target {
 	t := &Target{id: i.ID(), group: g, rank: rendezvousRank(g.fleet.vm, i.ID()), inFlight: make(map[*Lease]struct{}), slowdown: 1, departure: d}
-	t.update(i, readAt, now)
+	t.update(i, readAt, time.Time{}, now)
 	return t
 }
 
-// update applies the state of the instance in a list that was read at readAt.
-func (t *Target) update(i discovery.Instance, readAt, now time.Time) {
+// update applies the state of the instance in a list that was read at readAt. The list
+// before was read at previousReadAt, which is zero for a target that was not in it.
+func (t *Target) update(i discovery.Instance, readAt, previousReadAt, now time.Time) {
 	newlyListed := !t.listed
 	t.instance = i
 	t.listed = true
 	departed := t.departure.known()
-	t.departure = t.departure.afterListing(i.Leaving(), readAt, t.group.fleet.times)
+	t.departure = t.departure.afterListing(i.Leaving(), readAt, previousReadAt, t.group.fleet.times)
 	switch {
 	case !departed && t.departure.known():
 		t.group.fleet.addChange(NewTargetChange(t.id, TargetLeaves, 0))
