--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -178,21 +178,6 @@
 	}
 }
 
-// maxLoggedChanges bounds the lines about changes of targets that are logged at once.
-const maxLoggedChanges = 16
-
-// logTargetChanges logs what requests and the list have shown of targets since the last
-// call.
-func (e *Entry) logTargetChanges() {
-	changes := e.fleet.TakeChanges()
-	for _, c := range changes[:min(len(changes), maxLoggedChanges)] {
-		e.log.Info("target changed", zap.String("target", c.ID()), zap.String("change", string(c.Kind())), zap.Duration("wait", c.Wait()))
-	}
-	if more := len(changes) - maxLoggedChanges; more > 0 {
-		e.log.Info("further targets changed", zap.Int("targets", more))
-	}
-}
-
 // updateMembership passes the number of entry VMs, if it is known, and the reachable
 // data centres from the cluster to the fleet. The fleet derives the share of this VM in the
 // connections and limits of each target from the number of entry VMs. If data
@@ -205,7 +190,7 @@
 	}
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
-	e.logTargetChanges()
+	e.gateway.telemetry.recordTargetChanges(e.fleet.TakeChanges())
 	isolated := len(unreachable) > 0 && !e.dispatcher.Servable(now)
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("target reachability changed", zap.Bool("isolated", isolated), zap.Strings("data-centres", unreachable))
--- a/core/process/gateway/telemetry.go
+++ b/core/process/gateway/telemetry.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/process/dispatch"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
+	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
 )
 
@@ -21,6 +22,9 @@
 // had no error, retry or missing service is logged.
 const sampleEvery = 64
 
+// maxLoggedChanges bounds the lines about changes of targets that are logged at once.
+const maxLoggedChanges = 16
+
 // latencyBuckets are the upper bounds of the buckets of the latency histogram.
 var latencyBuckets = tally.DurationBuckets{
 	5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 40 * time.Millisecond, 70 * time.Millisecond,
@@ -81,6 +85,19 @@
 	t.log.Info("request", fields...)
 }
 
+// recordTargetChanges counts changes of targets, and logs at most maxLoggedChanges of them.
+func (t *Telemetry) recordTargetChanges(changes []placement.TargetChange) {
+	for n, c := range changes {
+		t.scope.Counter("target-changes." + string(c.Kind())).Inc(1)
+		if n < maxLoggedChanges {
+			t.log.Info("target changed", zap.String("target", c.ID()), zap.String("change", string(c.Kind())), zap.Duration("wait", c.Wait()))
+		}
+	}
+	if more := len(changes) - maxLoggedChanges; more > 0 {
+		t.log.Info("further targets changed", zap.Int("targets", more))
+	}
+}
+
 // recordAborted counts and logs a response that could not be completed after a
 // part of it had been written. recordAnswer has counted the same request before,
 // under the outcome of its answer.
