routes: a soak of what targets say of themselves, with real processes

It plays second copies of rejections, targets that leave, return or ask to wait, responses cut anywhere, odd list entries, callers that end their side, and a planned stop.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SCENARIO ?=
 
-.PHONY: build test lint wire-names unit replay demo up bench soak soak-again slopes fuzz platform platform-quiet platform-score platform-hunt rename-tool clean
+.PHONY: build test lint wire-names unit replay demo up bench soak soak-again soak-routes slopes fuzz platform platform-quiet platform-score platform-hunt rename-tool clean
 
 build:
 	@mkdir -p build
@@ -79,6 +79,10 @@
 soak: build
 	./build/runner soak --seed $(SEED) --runs $(RUNS) --time $(SOAKTIME) --folder build/soak
 
+# The program for routes as processes, with targets that misbehave, RUNS seeds from SEED on.
+soak-routes:
+	ROUTES_SOAK_SEEDS=$(RUNS) ROUTES_SOAK_FROM=$(SEED) go test ./mulberrydale/routes -run TestSoakOfRoutes -v -count=1 -timeout 2h
+
 # Every seed whose run has violated a guarantee.
 SOAKAGAIN := 4 5 8 18 26 40
 soak-again: build
