--- a/mulberrydale/routes/soak_test.go
+++ b/mulberrydale/routes/soak_test.go
@@ -31,8 +31,10 @@
 // exchangeResult is one request of a caller and its answer; status 0 means that the
 // connection ended without one.
 type exchangeResult struct {
-	id, via       string
-	post          bool
+	id, via string
+	post    bool
+	// unfinished is set if the caller left in the middle of the body.
+	unfinished    bool
 	sentAt, gotAt time.Time
 	status        int
 	body          string
@@ -57,9 +59,9 @@
 }
 
 // Runs a control VM and two entry VMs as processes, with targets that reject, ask to wait,
-// send second copies late, break off, leave and return under their ids, and a list with odd
-// entries. Callers go on over kept connections while an entry VM is stopped, and some end
-// their side. What callers and targets see is judged at the end. ROUTES_SOAK_SEEDS has the
+// send second copies late, break off, leave and return under their ids or others, and a list
+// with odd entries. Callers go on over kept connections while an entry VM is stopped, some
+// end their side, and some leave in the middle of a body. What callers and targets see is judged at the end. ROUTES_SOAK_SEEDS has the
 // number of seeds, and ROUTES_SOAK_FROM the first one.
 func TestSoakOfRoutes(t *testing.T) {
 	seeds, from := soakSeedsInCI, 1
@@ -152,6 +154,9 @@
 		address := l.leaf.address()
 		l.leaf.end()
 		time.Sleep(200 * time.Millisecond)
+		if l.rng.IntN(2) == 0 {
+			l.leaf.rename()
+		}
 		if l.leaf.open(address) != nil {
 			return
 		}
@@ -209,10 +214,14 @@
 	if out.post {
 		method, path, body = "POST", "/redelivery/1", id
 	}
+	length := len(body)
+	if out.post && c.rng.IntN(20) == 0 {
+		out.unfinished, body = true, body[:1]
+	}
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
 	_, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: rounds.example\r\n%s: %s\r\n%s: %s\r\n%s: 1500\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, wireNames.Request(), id, headerVia, e.name, wireNames.Deadline(), len(body), body)
-	if err != nil {
+		method, path, wireNames.Request(), id, headerVia, e.name, wireNames.Deadline(), length, body)
+	if err != nil || out.unfinished {
 		return out, false
 	}
 	if halfClosed {
--- a/mulberrydale/routes/soakjudge_test.go
+++ b/mulberrydale/routes/soakjudge_test.go
@@ -28,6 +28,9 @@
 func (s *soak) judgeAnswer(r exchangeResult, arrived bool) []string {
 	var out []string
 	runs := s.record.runs[r.id]
+	if r.unfinished && arrived {
+		out = append(out, r.id+" reached a target although its body is not complete")
+	}
 	if r.post && runs > 1 {
 		out = append(out, fmt.Sprintf("%s ran %d times", r.id, runs))
 	}
--- a/mulberrydale/routes/soakleaf_test.go
+++ b/mulberrydale/routes/soakleaf_test.go
@@ -69,13 +69,14 @@
 	reject, askToWait, lateCopy, cut float64
 }
 
-// soakLeaf is a target that misbehaves as its troubles say, leaves and starts again under
-// its id and address.
+// soakLeaf is a target that misbehaves as its troubles say, leaves and starts again at its
+// address, under the id that it had or another one.
 type soakLeaf struct {
-	id, service string
-	record      *soakRecord
+	service string
+	record  *soakRecord
 
 	mu       sync.Mutex
+	id       string
 	listener net.Listener
 	conns    map[net.Conn]bool
 	run      int
@@ -108,6 +109,19 @@
 	}
 }
 
+// rename gives the target another id, under which it starts next.
+func (l *soakLeaf) rename() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id += "+"
+}
+
+func (l *soakLeaf) name() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.id
+}
+
 func (l *soakLeaf) address() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -172,9 +186,13 @@
 func (c *soakConn) answer(r *http.Request, body []byte) bool {
 	l, s := c.leaf, c.leaf.record
 	run, leaving, t := l.state()
-	id, via := r.Header.Get(wireNames.Request()), r.Header.Get(headerVia)
+	id, via, name := r.Header.Get(wireNames.Request()), r.Header.Get(headerVia), l.name()
+	if r.Header.Get(wireNames.Target()) != name {
+		_, err := fmt.Fprintf(c.conn, "HTTP/1.1 421 Other\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wireNames.Request(), id)
+		return err == nil
+	}
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, arrival{leaf: l.id, run: run, id: id, via: via, at: time.Now()})
+	s.arrivals = append(s.arrivals, arrival{leaf: name, run: run, id: id, via: via, at: time.Now()})
 	s.mu.Unlock()
 	if len(c.copyOfLast) > 0 {
 		if _, err := c.conn.Write(c.copyOfLast); err != nil {
@@ -182,7 +200,7 @@
 		}
 		c.copyOfLast = nil
 	}
-	text := l.response(id, via, run, leaving, t, body)
+	text := l.response(name, id, via, run, leaving, t, body)
 	if s.draw(t.cut) {
 		s.mu.Lock()
 		s.broken[id] = true
@@ -200,7 +218,7 @@
 }
 
 // response returns the bytes of a rejection, or of the response after the request has run.
-func (l *soakLeaf) response(id, via string, run int, leaving bool, t troubles, body []byte) []byte {
+func (l *soakLeaf) response(name, id, via string, run int, leaving bool, t troubles, body []byte) []byte {
 	s := l.record
 	header := wireNames.Request() + ": " + id + "\r\n"
 	if leaving {
@@ -213,7 +231,7 @@
 			header += fmt.Sprintf("Retry-After: %.3f\r\n", asked.Seconds())
 			now := time.Now()
 			s.mu.Lock()
-			s.waits = append(s.waits, wait{leaf: l.id, run: run, via: via, from: now.Add(500 * time.Millisecond), to: now.Add(asked)})
+			s.waits = append(s.waits, wait{leaf: name, run: run, via: via, from: now.Add(500 * time.Millisecond), to: now.Add(asked)})
 			s.mu.Unlock()
 		}
 		return []byte("HTTP/1.1 503 Full\r\n" + header + "Content-Length: 0\r\n\r\n")
@@ -222,11 +240,11 @@
 	s.runs[id]++
 	s.mu.Unlock()
 	time.Sleep(s.between(time.Millisecond, 25*time.Millisecond))
-	record := fmt.Sprintf("%-16.16s", l.id)
+	record := fmt.Sprintf("%-16.16s", name)
 	if len(body) > 0 {
 		record = "done " + string(body)
 	}
-	header += fmt.Sprintf("%s: %s/%d/%s\r\n", wireNames.Signature(), l.id, run, id)
+	header += fmt.Sprintf("%s: %s/%d/%s\r\n", wireNames.Signature(), name, run, id)
 	return []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(record), record))
 }
 
@@ -240,7 +258,7 @@
 	b.WriteString(`{"targets": [`)
 	for n, l := range s.leafs {
 		_, leaving, _ := l.state()
-		fmt.Fprintf(&b, `{"id": %q, "service": %q, "address": %q, "data-centre": "oulu-2", "slots": 20, "leaving": %t},%s,`, l.id, l.service, l.address(), leaving, odd[n%len(odd)])
+		fmt.Fprintf(&b, `{"id": %q, "service": %q, "address": %q, "data-centre": "oulu-2", "slots": 20, "leaving": %t},%s,`, l.name(), l.service, l.address(), leaving, odd[n%len(odd)])
 	}
 	b.WriteString("]}")
 	_, _ = w.Write(b.Bytes())
