routes: the soak counts a wait only if the VM could read it

The target had counted a rejection that it then broke off, or sent behind a second copy of another response, after which the VM closes the connection without reading on. The rejection is now counted when it is sent whole and first.

--- a/mulberrydale/routes/soakleaf_test.go
+++ b/mulberrydale/routes/soakleaf_test.go
@@ -194,13 +194,14 @@
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{leaf: name, run: run, id: id, via: via, at: time.Now()})
 	s.mu.Unlock()
-	if len(c.copyOfLast) > 0 {
+	crossed := len(c.copyOfLast) > 0
+	if crossed {
 		if _, err := c.conn.Write(c.copyOfLast); err != nil {
 			return false
 		}
 		c.copyOfLast = nil
 	}
-	text := l.response(name, id, via, run, leaving, t, body)
+	text, asked := l.response(name, id, run, leaving, t, body)
 	if s.draw(t.cut) {
 		s.mu.Lock()
 		s.broken[id] = true
@@ -211,14 +212,22 @@
 	if _, err := c.conn.Write(text); err != nil {
 		return false
 	}
+	if asked > 0 && !crossed {
+		// Behind a copy of another response the VM does not read this one.
+		now := time.Now()
+		s.mu.Lock()
+		s.waits = append(s.waits, wait{leaf: name, run: run, via: via, from: now.Add(500 * time.Millisecond), to: now.Add(asked)})
+		s.mu.Unlock()
+	}
 	if s.draw(t.lateCopy) {
 		c.copyOfLast = text
 	}
 	return true
 }
 
-// response returns the bytes of a rejection, or of the response after the request has run.
-func (l *soakLeaf) response(name, id, via string, run int, leaving bool, t troubles, body []byte) []byte {
+// response returns the bytes of a rejection, or of the response after the request has run,
+// and the time for which the target wants nothing more from this VM.
+func (l *soakLeaf) response(name, id string, run int, leaving bool, t troubles, body []byte) (text []byte, asked time.Duration) {
 	s := l.record
 	header := wireNames.Request() + ": " + id + "\r\n"
 	if leaving {
@@ -227,14 +236,10 @@
 	if s.draw(t.reject) {
 		header += wireNames.NotRun() + ": 1\r\n"
 		if s.draw(t.askToWait) {
-			asked := s.between(600*time.Millisecond, 2*time.Second)
+			asked = s.between(600*time.Millisecond, 2*time.Second)
 			header += fmt.Sprintf("Retry-After: %.3f\r\n", asked.Seconds())
-			now := time.Now()
-			s.mu.Lock()
-			s.waits = append(s.waits, wait{leaf: name, run: run, via: via, from: now.Add(500 * time.Millisecond), to: now.Add(asked)})
-			s.mu.Unlock()
 		}
-		return []byte("HTTP/1.1 503 Full\r\n" + header + "Content-Length: 0\r\n\r\n")
+		return []byte("HTTP/1.1 503 Full\r\n" + header + "Content-Length: 0\r\n\r\n"), asked
 	}
 	s.mu.Lock()
 	s.runs[id]++
@@ -245,7 +250,7 @@
 		record = "done " + string(body)
 	}
 	header += fmt.Sprintf("%s: %s/%d/%s\r\n", wireNames.Signature(), name, run, id)
-	return []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(record), record))
+	return []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(record), record)), 0
 }
 
 // soakList is the list of targets. It shows leaving targets, and between them odd entries of
