--- a/core/connection/exchange/latecopy_test.go
+++ b/core/connection/exchange/latecopy_test.go
@@ -22,33 +22,11 @@
 // answers the second request of a connection, it sends the answer to the first one
 // again.
 type repeatingTarget struct {
-	listener net.Listener
-
 	mu       sync.Mutex
 	requests int
 	runs     int
 }
 
-func newRepeatingTarget(t *testing.T) *repeatingTarget {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	target := &repeatingTarget{listener: listener}
-	go target.run()
-	t.Cleanup(func() { _ = listener.Close() })
-	return target
-}
-
-func (r *repeatingTarget) run() {
-	for {
-		conn, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		go (&repeatingConn{target: r, conn: conn}).run()
-	}
-}
-
 // timesRun returns how many requests the target has run.
 func (r *repeatingTarget) timesRun() int {
 	r.mu.Lock()
@@ -97,11 +75,12 @@
 // which runs: taken for its rejection, the request would be called not run, or would be
 // run a second time by another target.
 func TestSecondCopyOfRejectionIsNotTakenForThatOfNextSend(t *testing.T) {
-	target := newRepeatingTarget(t)
+	target := &repeatingTarget{}
+	server := newConnServer(t, func(conn net.Conn) connHandler { return &repeatingConn{target: target, conn: conn} })
 	pool := upstream.NewPool()
 	sender := exchange.NewSender(pool, exchange.OwnHeaderNames())
 	r := relay.NewRequest("req-1", http.MethodPost, "a.example", "/x/1", "/x/1", http.Header{}, []byte("seat"), time.Now())
-	i := discovery.NewInstance("i-1", "s-1", target.listener.Addr().String(), "dc-1", 2)
+	i := discovery.NewInstance("i-1", "s-1", server.address(), "dc-1", 2)
 	var outcomes []string
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/core/connection/exchange/model_test.go
+++ b/core/connection/exchange/model_test.go
@@ -25,8 +25,6 @@
 // earlier responses before, or late, breaks off, adds bytes, or closes. It knows for each
 // send what it did, and marks it in the response.
 type modelTarget struct {
-	listener net.Listener
-
 	mu  sync.Mutex
 	rng *rand.Rand
 	// ran and rejected count the sends, which a header of their own numbers.
@@ -38,16 +36,6 @@
 // request apart. The code under test passes it on like any other header.
 const headerSend = "X-Send"
 
-func (m *modelTarget) run() {
-	for {
-		conn, err := m.listener.Accept()
-		if err != nil {
-			return
-		}
-		go (&modelConn{target: m, conn: conn}).run()
-	}
-}
-
 // modelConn is one connection to a modelTarget, with the responses sent on it so far.
 type modelConn struct {
 	target *modelTarget
@@ -131,15 +119,12 @@
 }
 
 func playModel(t *testing.T, seed uint64) (sends int) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	target := &modelTarget{listener: listener, rng: rand.New(rand.NewPCG(seed, 1)), ran: make(map[string]bool), rejected: make(map[string]bool)}
-	go target.run()
+	target := &modelTarget{rng: rand.New(rand.NewPCG(seed, 1)), ran: make(map[string]bool), rejected: make(map[string]bool)}
+	server := newConnServer(t, func(conn net.Conn) connHandler { return &modelConn{target: target, conn: conn} })
 	rng := rand.New(rand.NewPCG(seed, 2))
 	pool := upstream.NewPool()
 	sender := exchange.NewSender(pool, exchange.OwnHeaderNames())
-	instance := discovery.NewInstance("i-1", "s-1", listener.Addr().String(), "dc-1", 2)
+	instance := discovery.NewInstance("i-1", "s-1", server.address(), "dc-1", 2)
 	for n := range 200 {
 		send := fmt.Sprintf("send-%d-%d", seed, n)
 		// Few ids, so that most of them come again.
--- a/core/process/dispatch/replay_test.go
+++ b/core/process/dispatch/replay_test.go
@@ -316,14 +316,22 @@
 // newEntryVMs returns an answerFunc that distributes requests round-robin over
 // the VMs of a fault.
 func newEntryVMs(c *simCluster, list discovery.List, setup fault) answerFunc {
-	n := max(3, setup.vms)
+	slack := max(20, slackPerVM*float64(setup.vms))
+	return newVMs(max(3, setup.vms), slack, setup.maxConnections, list, func(string) Sender { return c })
+}
+
+// newVMs returns an answerFunc that distributes requests round-robin over n VMs, which
+// share a slack of the retry budget and the connections of each target. senderOf returns
+// the Sender of a VM.
+func newVMs(n int, slack float64, maxConnections int, list discovery.List, senderOf func(vm string) Sender) answerFunc {
 	x := &findingExchange{}
 	var dispatchers []*Dispatcher
-	table := routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(setup.maxConnections), routing.Limits{})
-	for range n {
-		f := placement.NewFleet(fmt.Sprintf("vm-%d", len(dispatchers)), "dc-1", placement.NewLimits(0.2, max(20, slackPerVM*float64(setup.vms)), 10*time.Second, 1.5, 5), time.Now().Add(-time.Minute))
+	table := routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(maxConnections), routing.Limits{})
+	for vm := range n {
+		name := fmt.Sprintf("vm-%d", vm)
+		f := placement.NewFleet(name, "dc-1", placement.NewLimits(0.2, slack, 10*time.Second, 1.5, 5), time.Now().Add(-time.Minute))
 		f.SetEntryVMs(n, time.Now())
-		d := New(f, c)
+		d := New(f, senderOf(name))
 		d.SetTable(table)
 		f.SetTargets(list, time.Now())
 		dispatchers = append(dispatchers, d)
--- a/core/process/dispatch/replay_wait_test.go
+++ b/core/process/dispatch/replay_wait_test.go
@@ -11,10 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/mulberrydale/mulberrydale/core/process/discovery"
-	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
-	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
 const (
@@ -86,33 +83,6 @@
 	return declined.WithNotice(relay.NewNotice(false, waitAsked))
 }
 
-// newRecordedVMs returns an answerFunc like that of newEntryVMs, whose sends are recorded.
-func newRecordedVMs(c *simCluster, list discovery.List, n int, record *rejectionRecord, asks bool) answerFunc {
-	x := &findingExchange{}
-	var dispatchers []*Dispatcher
-	table := routing.NewTable(1, []routing.Route{replayRoute()}, replayServices(195), routing.Limits{})
-	for vm := range n {
-		name := fmt.Sprintf("vm-%d", vm)
-		f := placement.NewFleet(name, "dc-1", placement.NewLimits(0.2, max(52, slackPerVM*float64(n)), 10*time.Second, 1.5, 5), time.Now().Add(-time.Minute))
-		f.SetEntryVMs(n, time.Now())
-		d := New(f, &vmSender{vm: name, cluster: c, record: record, asks: asks})
-		d.SetTable(table)
-		f.SetTargets(list, time.Now())
-		dispatchers = append(dispatchers, d)
-		x.fleets = append(x.fleets, f)
-	}
-	go x.run()
-	var mu sync.Mutex
-	next := 0
-	return func(ctx context.Context, r *relay.Request) (relay.Answer, Trace) {
-		mu.Lock()
-		next++
-		d := dispatchers[next%n]
-		mu.Unlock()
-		return d.Answer(ctx, r)
-	}
-}
-
 // waitReplay is a replay in which 60 % of the targets reject 60 % of what they get.
 type waitReplay struct {
 	stats    replayStats
@@ -135,7 +105,10 @@
 		synctest.Test(t, func(*testing.T) {
 			record := &rejectionRecord{rejectedAt: make(map[string]time.Time), during: make(map[string]int)}
 			c, list := newSimCluster(seed, sheddingTargets)
-			out.stats.addAll(runLoad(waitRate, 0, seed, newRecordedVMs(c, list, vms, record, asks)))
+			answer := newVMs(vms, max(52, slackPerVM*float64(vms)), waitConnections, list, func(vm string) Sender {
+				return &vmSender{vm: vm, cluster: c, record: record, asks: asks}
+			})
+			out.stats.addAll(runLoad(waitRate, 0, seed, answer))
 			out.arrivals += record.arrivals
 			out.rejections += record.rejections
 			out.worst = max(out.worst, record.worst)
@@ -144,10 +117,14 @@
 	return out
 }
 
-// sheddingTargets is the fault of these replays, and waitRate the requests a second.
+// sheddingTargets is the fault of these replays, waitRate the requests a second, and
+// waitConnections the connections that a target accepts.
 var sheddingTargets = fault{affectedShare: 0.6, shedRate: 0.6}
 
-const waitRate = 120
+const (
+	waitRate        = 120
+	waitConnections = 195
+)
 
 // While targets reject requests and want nothing for a time after that, no VM may send them
 // more than maxDuringWait. A query that too few shards can answer is refused at once, and
