--- a/core/process/dispatch/replay_wait_test.go
+++ b/core/process/dispatch/replay_wait_test.go
@@ -60,6 +60,16 @@
 	x.during[key] = 0
 }
 
+// addTo adds the counts to those of a replay. An attempt that is no longer needed may have
+// ended without the caller of Answer waiting for it.
+func (x *rejectionRecord) addTo(out *waitReplay) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out.arrivals += x.arrivals
+	out.rejections += x.rejections
+	out.worst = max(out.worst, x.worst)
+}
+
 // vmSender is the Sender of one VM. If asks is set, rejections name waitAsked.
 type vmSender struct {
 	vm      string
@@ -109,9 +119,7 @@
 				return &vmSender{vm: vm, cluster: c, record: record, asks: asks}
 			})
 			out.stats.addAll(runLoad(waitRate, 0, seed, answer))
-			out.arrivals += record.arrivals
-			out.rejections += record.rejections
-			out.worst = max(out.worst, record.worst)
+			record.addTo(out)
 		})
 	}
 	return out
