exchange, upstream: one outcome for a response, one scan of the ids

Cause: what a target says of itself was added to an outcome that was already complete, which took the outcome apart and built it again for each sub-request; the pool looked through the ids of a connection up to three times before it used it.

Now classify gets the notice, and takeIdle tells whether the connection is fresh.

--- a/core/connection/exchange/response.go
+++ b/core/connection/exchange/response.go
@@ -95,37 +95,24 @@
 		// Only a response that may be passed on needs its header.
 		header = EndToEnd(res.Header)
 	}
-	outcome, reuse := x.names.classify(res, header, body, x.attempt.Request().ID())
+	outcome, reuse := x.names.classify(res, header, body, x.attempt.Request().ID(), notice)
 	answered, ok := outcome.(relay.Answered)
 	switch {
 	case int64(len(body)) <= limit:
 		_ = res.Body.Close()
 		x.finish(reuse && !res.Close)
-		return withNotice(outcome, notice)
+		return outcome
 	case ok && streamable:
 		rest := &streamedBody{ReadCloser: res.Body, roundTrip: x, reuse: reuse && !res.Close}
 		return relay.NewAnswered(answered.Response().WithRest(rest, res.ContentLength), answered.Load()).WithNotice(notice)
 	}
 	x.finish(false)
 	if !ok {
-		return withNotice(outcome, notice)
+		return outcome
 	}
 	return relay.NewLost(result.New(result.FrameTooLarge, "the response body is over the limit of %d bytes", limit)).WithNotice(notice)
 }
 
-// withNotice returns the outcome of a response with what the target said in it.
-func withNotice(outcome relay.Outcome, n relay.Notice) relay.Outcome {
-	switch o := outcome.(type) {
-	case relay.Answered:
-		return o.WithNotice(n)
-	case relay.Declined:
-		return o.WithNotice(n)
-	case relay.Lost:
-		return o.WithNotice(n)
-	}
-	return outcome
-}
-
 // streamedBody is the rest of a response body after the buffered beginning. Its
 // connection is reused only if reuse is set and the body was read to its end.
 type streamedBody struct {
@@ -152,8 +139,8 @@
 // classify classifies a response to the request with the given id. The outcome
 // is Answered, Declined or Lost; the second result reports whether the
 // connection may be reused. The header is the part of the response's header that an
-// Answered outcome keeps.
-func (n HeaderNames) classify(res *http.Response, header http.Header, body []byte, id string) (relay.Outcome, bool) {
+// Answered outcome keeps, and the notice what the target said of itself.
+func (n HeaderNames) classify(res *http.Response, header http.Header, body []byte, id string, notice relay.Notice) (relay.Outcome, bool) {
 	load := parseLoad(res.Header.Get(n.load))
 	// A response with another id, or without one, may be a surplus response to
 	// an earlier request on this connection.
@@ -163,19 +150,19 @@
 	// Status 421 means that the target at this address is not the instance that
 	// the request names.
 	if res.Header.Get(n.notRun) != "" || res.StatusCode == http.StatusMisdirectedRequest {
-		return relay.NewDeclined(load, res.StatusCode == http.StatusMisdirectedRequest, "status "+strconv.Itoa(res.StatusCode)), true
+		return relay.NewDeclined(load, res.StatusCode == http.StatusMisdirectedRequest, "status "+strconv.Itoa(res.StatusCode)).WithNotice(notice), true
 	}
 	if res.Header.Get("Content-Encoding") != "" {
-		return relay.NewLost(result.New(result.FrameMalformed, "the response has a Content-Encoding header, which is not supported")), false
+		return relay.NewLost(result.New(result.FrameMalformed, "the response has a Content-Encoding header, which is not supported")).WithNotice(notice), false
 	}
 	if impliesNotRun(res.StatusCode) {
-		return relay.NewLost(result.New(result.TargetRefused, "status %d without the header that marks a request as not run", res.StatusCode)), true
+		return relay.NewLost(result.New(result.TargetRefused, "status %d without the header that marks a request as not run", res.StatusCode)).WithNotice(notice), true
 	}
 	signature := res.Header.Get(n.signature)
 	if signature == "" && res.StatusCode < 300 {
-		return relay.NewLost(result.New(result.FrameMalformed, "success status without a signature header")), false
+		return relay.NewLost(result.New(result.FrameMalformed, "success status without a signature header")).WithNotice(notice), false
 	}
-	return relay.NewAnswered(relay.NewResponse(res.StatusCode, header, body, signature), load), true
+	return relay.NewAnswered(relay.NewResponse(res.StatusCode, header, body, signature), load).WithNotice(notice), true
 }
 
 // impliesNotRun reports whether clients take a status to mean that their
--- a/core/connection/upstream/upstream.go
+++ b/core/connection/upstream/upstream.go
@@ -187,11 +187,11 @@
 func (p *Pool) Get(ctx context.Context, address, requestID string, maxIdle time.Duration, now time.Time) (*Conn, error) {
 	hash := p.hasher.hash(requestID)
 	for {
-		c := p.takeIdle(address, hash)
+		c, fresh := p.takeIdle(address, hash)
 		if c == nil {
 			break
 		}
-		if c.carried.contains(hash) || c.idleExpired(now) || maxIdle > 0 && now.Sub(c.lastUsed) > maxIdle || !c.inputEmpty() {
+		if !fresh || c.idleExpired(now) || maxIdle > 0 && now.Sub(c.lastUsed) > maxIdle || !c.inputEmpty() {
 			c.Discard()
 			continue
 		}
@@ -208,24 +208,23 @@
 
 // takeIdle removes from the idle connections to an address the most recently used one
 // that has not carried a request whose id has this hash, or if all of them have, the
-// most recently used one. It returns nil if there is none.
-func (p *Pool) takeIdle(address string, hash uint32) *Conn {
+// most recently used one, and fresh is false. It returns nil if there is none.
+func (p *Pool) takeIdle(address string, hash uint32) (c *Conn, fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	if len(list) == 0 {
-		return nil
-	}
-	n := len(list) - 1
-	for n > 0 && list[n].carried.contains(hash) {
-		n--
+		return nil, false
 	}
-	if list[n].carried.contains(hash) {
-		n = len(list) - 1
+	for n := len(list) - 1; n >= 0; n-- {
+		if c = list[n]; !c.carried.contains(hash) {
+			p.idle[address] = slices.Delete(list, n, n+1)
+			return c, true
+		}
 	}
-	c := list[n]
-	p.idle[address] = slices.Delete(list, n, n+1)
-	return c
+	c = list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c, false
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
