--- a/core/result/code.go
+++ b/core/result/code.go
@@ -54,6 +54,9 @@
 	TargetRefused    Code = 208
 	NotAllowed       Code = 209
 	Unconfirmed      Code = 210
+	UnknownTeam      Code = 211
+	OverQuota        Code = 212
+	OverCapacity     Code = 213
 
 	OutcomeUnknown Code = 300
 	ClaimedBefore  Code = 301
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -20,6 +20,9 @@
 	{TargetRefused, "target-refused", "the target itself refused the request before running it"},
 	{NotAllowed, "not-allowed", "the method or path is not served here"},
 	{Unconfirmed, "unconfirmed", "this VM waits for a confirmation of its configuration; send the request to another one"},
+	{UnknownTeam, "unknown-team", "the request has no key, or one that no team holds"},
+	{OverQuota, "over-quota", "the team has used its quota; the request may be sent again after the stated time"},
+	{OverCapacity, "over-capacity", "this VM has no memory or connection left for the request"},
 
 	{OutcomeUnknown, "outcome-unknown", "the request was sent and no response was received; it may have run"},
 	{TimedOut, "timed-out", "no usable response was received in time; the request may have run"},
--- a/core/version/routing/check.go
+++ b/core/version/routing/check.go
@@ -17,7 +17,7 @@
 		}
 		routeNames[key] = r.name
 	}
-	return nil
+	return t.checkTeams()
 }
 
 func (t *Table) checkRoute(r Route) error {
--- a/core/version/routing/routing.go
+++ b/core/version/routing/routing.go
@@ -49,6 +49,7 @@
 	shards           []string
 	topK             int
 	minShardRatio    float64
+	public           bool
 }
 
 // NewRoute returns a route for idempotent requests to a host and path prefix.
@@ -106,6 +107,16 @@
 	return r
 }
 
+// WithPublic returns a copy of the route whose requests need no key, even if the table has
+// teams.
+func (r Route) WithPublic(public bool) Route {
+	r.public = public
+	return r
+}
+
+// Public reports whether requests need no key, even if the table has teams.
+func (r Route) Public() bool { return r.public }
+
 // Name returns the name that the operator gave to the route.
 func (r Route) Name() string { return r.name }
 
--- a/core/version/routing/routing_test.go
+++ b/core/version/routing/routing_test.go
@@ -99,3 +99,39 @@
 	fmt.Println(r.Name(), ok)
 	// Output: search true
 }
+
+// A key that two teams hold would make it a matter of chance to which team a request
+// belongs, and an empty key would admit requests without a key.
+func TestCheckRejectsInvalidTeams(t *testing.T) {
+	key := func(names ...string) []routing.KeyDigest {
+		var out []routing.KeyDigest
+		for _, name := range names {
+			out = append(out, routing.DigestKey(name))
+		}
+		return out
+	}
+	tests := []struct {
+		name  string
+		teams []routing.Team
+		code  result.Code
+	}{
+		{"shared key", []routing.Team{routing.NewTeam("a", key("k-1"), 0), routing.NewTeam("b", key("k-2", "k-1"), 0)}, result.DuplicateName},
+		{"key listed twice", []routing.Team{routing.NewTeam("a", key("k-1", "k-1"), 0)}, result.DuplicateName},
+		{"same name", []routing.Team{routing.NewTeam("a", key("k-1"), 0), routing.NewTeam("a", key("k-2"), 0)}, result.DuplicateName},
+		{"empty key", []routing.Team{routing.NewTeam("a", key(""), 0)}, result.LimitOutOfRange},
+		{"negative rate", []routing.Team{routing.NewTeam("a", key("k-1"), 0).WithQuota(-1, 0)}, result.LimitOutOfRange},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, result.CodeOf(newTable().WithTeams(tt.teams).Check()), tt.code)
+		})
+	}
+	table := newTable().WithTeams([]routing.Team{routing.NewTeam("a", key("k-1", "k-2"), 1), routing.NewTeam("b", key("k-3"), 2).WithQuota(5, 2)})
+	assert.NilError(t, table.Check())
+	team, ok := table.TeamOf(routing.DigestKey("k-2"))
+	assert.Assert(t, ok)
+	assert.Equal(t, team.Name(), "a")
+	_, ok = table.TeamOf(routing.DigestKey("K-2"))
+	assert.Assert(t, !ok)
+	assert.Assert(t, !newTable().HasTeams())
+}
--- a/core/version/routing/table.go
+++ b/core/version/routing/table.go
@@ -13,6 +13,9 @@
 	limits   Limits
 	// byHost holds the routes of each hostKey, longest prefix first.
 	byHost map[string][]Route
+	teams  []Team
+	// teamByKey holds the index in teams of the team that holds a key.
+	teamByKey map[KeyDigest]int
 }
 
 // NewTable returns a routing table with the given version number. It does not
