health: slots of late responses are numbered from the first one, not by the time of day

After a jump back of a control VM's time of day its late responses of a target counted as too old until nothing had been observed of the target for 3 s. Two adjacent slots alone now count as one, and a window of one second finds slow targets as soon as before.

--- a/core/process/health/late.go
+++ b/core/process/health/late.go
@@ -16,19 +16,23 @@
 	// have one if every response were late, from which a target counts as slow.
 	lateShare = 0.25
 	// extraLateSlots is the number of slots with a late response that are needed
-	// beyond lateShare: a pause touches two slots at most.
+	// beyond lateShare: a pause counts as one, and another response may be late by
+	// chance.
 	extraLateSlots = 2
 )
 
 // lateWindows are the numbers of slots, up to the latest late response, that are
 // judged: the shortest shows a target with many requests early, the longest one with
 // few requests at all.
-var lateWindows = []int{6, 12, 32, lateSlots}
+var lateWindows = []int{6, 12, 20, 32, lateSlots}
 
 // lateResponses holds when a target's responses were late.
 type lateResponses struct {
+	// base is the time of the first late response. Slots are numbered from it, since
+	// numbers by the time of day would change when that is set.
+	base time.Time
 	// slots has a bit for each of the latest slots, set if a response was late
-	// within it. Bit 0 is slot number latest, counted from the Unix epoch.
+	// within it. Bit 0 is slot number latest.
 	slots  uint64
 	latest int64
 	lastAt time.Time
@@ -40,7 +44,10 @@
 // add adds a late response. The interval is the mean time between two responses of
 // the target to all VMs together, while no VM avoids it.
 func (l *lateResponses) add(at time.Time, interval time.Duration) {
-	slot := at.UnixNano() / int64(lateSlot)
+	if l.base.IsZero() {
+		l.base = at
+	}
+	slot := int64(math.Floor(float64(at.Sub(l.base)) / float64(lateSlot)))
 	switch age := l.latest - slot; {
 	case age >= lateSlots:
 		return
@@ -73,9 +80,17 @@
 	for _, n := range lateWindows {
 		window := l.slots & (1<<n - 1)
 		span := time.Duration(bits.Len64(window)-1) * lateSlot
-		if span >= minUnhealthySpan && float64(bits.OnesCount64(window)) >= extraLateSlots+lateShare*expected*float64(n) {
+		if span >= minUnhealthySpan && float64(countLate(window)) >= extraLateSlots+lateShare*expected*float64(n) {
 			return true
 		}
 	}
 	return false
 }
+
+// countLate returns the number of slots with a late response. Two adjacent ones without
+// another beside them count as one, because the responses at the end of a pause may lie
+// in both.
+func countLate(slots uint64) int {
+	pairs := slots & (slots >> 1) &^ (slots << 1) &^ (slots >> 2)
+	return bits.OnesCount64(slots) - bits.OnesCount64(pairs)
+}
--- a/core/process/health/late_test.go
+++ b/core/process/health/late_test.go
@@ -130,3 +130,32 @@
 	l.add(now.Add(time.Hour), time.Second)
 	assert.Equal(t, l.slots, uint64(1))
 }
+
+// Slots were numbered by the time of day. After it had been set back, late responses
+// counted as too old until nothing else was observed of the target.
+func TestSlotsDoNotDependOnTheTimeOfDay(t *testing.T) {
+	var want lateResponses
+	for n, start := range []time.Time{time.Unix(1_000_000, 0), time.Unix(1_000_000, 33_000_000), time.Unix(7, 49_999_999)} {
+		var l lateResponses
+		for _, after := range []time.Duration{0, 70 * time.Millisecond, 130 * time.Millisecond, 40 * time.Millisecond, 400 * time.Millisecond} {
+			l.add(start.Add(after), time.Second)
+		}
+		if n == 0 {
+			want = l
+		}
+		assert.Equal(t, l.slots, want.slots)
+		assert.Equal(t, l.latest, want.latest)
+	}
+}
+
+// The responses that a pause delays may lie in two slots, which must not count for more
+// than those in one.
+func TestCountLate(t *testing.T) {
+	tests := []struct {
+		slots uint64
+		want  int
+	}{{0, 0}, {0b1, 1}, {0b11, 1}, {0b1011, 2}, {0b111, 3}, {0b110011, 2}, {1<<63 | 1<<62, 1}, {0b1111, 4}}
+	for _, tt := range tests {
+		assert.Equal(t, countLate(tt.slots), tt.want, "%b", tt.slots)
+	}
+}
