relay, dispatch: the team of a request and the place of its check

The quota of a team and its key are decided in dispatch by different parts of the code. relay.Request carries the team, and the dispatcher passes each request through authenticate before admission.

--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -155,6 +155,9 @@
 		return relay.NewRefused(result.UnknownQuery, "no route matches the host and path"), trace
 	}
 	trace.route = route.Name()
+	if refusal, refused := d.authenticate(table, route, req, req.Arrived()); refused {
+		return refusal, trace
+	}
 	service := ""
 	if len(route.Shards()) == 0 {
 		service = route.Pick(rand.Float64())
--- a/core/request/relay/request.go
+++ b/core/request/relay/request.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
 // Request is an HTTP request from a caller, with its complete body.
@@ -17,6 +19,8 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
+	team     routing.Team
+	hasTeam  bool
 
 	// wireHeader is the result of WireHeader.
 	wireHeaderOnce sync.Once
@@ -36,6 +40,17 @@
 	return r
 }
 
+// WithTeam sets the team to which the request belongs. It changes r and returns it.
+func (r *Request) WithTeam(t routing.Team) *Request {
+	r.team = t
+	r.hasTeam = true
+	return r
+}
+
+// Team returns the team to which the request belongs, and false if it belongs to none:
+// the configuration has no teams, or the route is public and the request has no known key.
+func (r *Request) Team() (routing.Team, bool) { return r.team, r.hasTeam }
+
 // ID returns the id that the caller gave to this request, or one generated on
 // arrival.
 func (r *Request) ID() string { return r.id }
