--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -20,6 +20,8 @@
 	wireTargetList
 	wireLateResponses
 	wireUnchanged
+	wireConfirmRevision
+	wireRevisionConfirmed
 )
 
 // Encode encodes a message as the payload of a frame.
@@ -71,6 +73,12 @@
 	case Unchanged:
 		enc.Uint(wireUnchanged)
 		encodeUnchanged(enc, m)
+	case ConfirmRevision:
+		enc.Uint(wireConfirmRevision)
+		enc.Uint(m.number)
+	case RevisionConfirmed:
+		enc.Uint(wireRevisionConfirmed)
+		encodeRevisionConfirmed(enc, m)
 	}
 	return enc.Payload()
 }
@@ -107,6 +115,10 @@
 		out = decodeLateResponses(dec)
 	case wireUnchanged:
 		out = decodeUnchanged(dec)
+	case wireConfirmRevision:
+		out = ConfirmRevision{number: dec.Uint()}
+	case wireRevisionConfirmed:
+		out = decodeRevisionConfirmed(dec)
 	default:
 		dec.Fail("unknown message kind")
 	}
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -36,6 +36,8 @@
 	}, []string{"i-2"})),
 	peer.NewLateResponses([]discovery.LateResponse{discovery.NewLateResponse("i-1", time.Second, 25*time.Millisecond)}),
 	peer.NewUnchanged(4, time.Second),
+	peer.NewConfirmRevision(7),
+	peer.NewRevisionConfirmed(7, 3, 120*time.Millisecond),
 }
 
 func TestMessageRoundTrip(t *testing.T) {
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -106,6 +106,8 @@
 	loggedLeader   string
 	caughtUp       bool
 	openedAt       time.Time
+	// clock is the clock of the latest step.
+	clock monotonicClock
 
 	// stateMu guards state, which is shared between the loop and callers of
 	// Audit.
--- a/core/process/control/faults_test.go
+++ b/core/process/control/faults_test.go
@@ -46,7 +46,7 @@
 // A caller that has the answer to its change must not read a status of before it:
 // nobody receives the answer here until the status shows that the VM stepped down.
 func TestCallersAreAnsweredAfterTheStatusIsPublished(t *testing.T) {
-	clock := monotonicClock{base: time.Now()}
+	clock := newMonotonicClock()
 	c := openLeader(t, t.TempDir(), clock)
 	reply := make(chan proposalResult)
 	c.pending[c.node.CommitIndex()+1] = proposal{reply: reply}
@@ -66,7 +66,7 @@
 // A change or read that is refused because the VM has just stepped down must not be
 // answered while the status still says that the VM leads.
 func TestRefusalsFollowTheStatus(t *testing.T) {
-	clock := monotonicClock{base: time.Now()}
+	clock := newMonotonicClock()
 	tests := []struct {
 		name string
 		lose func(c *Control)
@@ -101,7 +101,7 @@
 // with entries goes on with them after catchUpTimeout.
 func TestEmptyReplicaWithoutLeaderHasNotCaughtUp(t *testing.T) {
 	for _, applied := range []uint64{0, 4} {
-		clock := monotonicClock{base: time.Now()}
+		clock := newMonotonicClock()
 		c, err := Open(t.TempDir(), "vm-2", nil, 3, noPeers{}, noPeers{}, zap.NewNop(), clock.now())
 		assert.NilError(t, err)
 		c.applied = applied
@@ -160,7 +160,7 @@
 // leader no longer has. Unless it is installed afterwards, the routes of this VM stay
 // at version 0.
 func TestSnapshotReceivedDuringJournalWriteErrorsIsInstalled(t *testing.T) {
-	clock := monotonicClock{base: time.Now()}
+	clock := newMonotonicClock()
 	leader := openLeader(t, t.TempDir(), clock)
 	startWithSnapshot(t, leader, clock)
 	folder := t.TempDir()
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -6,23 +6,39 @@
 
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
 
-// monotonicClock returns times that changes of the wall clock do not affect. Each is
-// the wall-clock time at base plus the monotonic time elapsed since. It has no
-// monotonic reading, because that would be lost when the time is sent to another VM.
-type monotonicClock struct{ base time.Time }
+// monotonicClock returns times that changes of the wall clock do not affect and that
+// include the time for which the machine was suspended: a leader that was suspended must
+// not take its last contact with a quorum for a recent one. Each is the wall-clock time at
+// base plus the time elapsed since boot. It has no monotonic reading, because that would be
+// lost when the time is sent to another VM.
+type monotonicClock struct {
+	base time.Time
+	boot bootclock.Time
+}
+
+// newMonotonicClock returns a clock that starts at the present time.
+func newMonotonicClock() monotonicClock {
+	return monotonicClock{base: time.Now().Round(0), boot: bootclock.Now()}
+}
 
 func (c monotonicClock) now() time.Time {
-	return c.base.Round(0).Add(time.Since(c.base))
+	return c.base.Round(0).Add(bootclock.Now().Sub(c.boot))
+}
+
+// bootTime returns the time of bootclock at which this clock returned or will return t.
+func (c monotonicClock) bootTime(t time.Time) bootclock.Time {
+	return c.boot.Add(t.Sub(c.base.Round(0)))
 }
 
 // Run processes events and timers of the replica until ctx ends. It returns an
 // error if a snapshot sent by the leader can't be decoded; the role has then stopped.
 func (c *Control) Run(ctx context.Context) error {
-	clock := monotonicClock{base: time.Now()}
+	clock := newMonotonicClock()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	defer c.journal.Close()
@@ -104,6 +120,7 @@
 // status shows them.
 func (c *Control) step(clock monotonicClock) error {
 	now := clock.now()
+	c.clock = clock
 	if !c.journalFailedAt.IsZero() {
 		if ok, err := c.recoverJournal(now); !ok {
 			c.publishStatus(now)
@@ -243,6 +260,10 @@
 		at:           time.Now(),
 	}
 	c.stateMu.Unlock()
+	if contact, ok := c.node.AcknowledgedContact(now); ok && c.applied >= c.node.CommitIndex() {
+		s.provenAt = c.clock.bootTime(contact)
+		s.proven = true
+	}
 	old := c.status.Swap(s)
 	if s.leader != c.loggedLeader {
 		c.loggedLeader = s.leader
--- a/core/process/control/paused_test.go
+++ b/core/process/control/paused_test.go
@@ -47,7 +47,7 @@
 
 // newNetwork opens three control VMs.
 func newNetwork(t *testing.T) *network {
-	n := &network{clock: monotonicClock{base: time.Now()}, names: []string{"vm-1", "vm-2", "vm-3"}, vms: make(map[string]*Control), queues: make(map[string][]delivery)}
+	n := &network{clock: newMonotonicClock(), names: []string{"vm-1", "vm-2", "vm-3"}, vms: make(map[string]*Control), queues: make(map[string][]delivery)}
 	for _, name := range n.names {
 		port := &networkPort{network: n, name: name}
 		c, err := Open(t.TempDir(), name, nil, 3, port, port, zap.NewNop(), n.clock.now())
--- a/core/process/control/status.go
+++ b/core/process/control/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 )
 
@@ -21,6 +22,8 @@
 	caughtUp     bool
 	quorumAge    time.Duration
 	at           time.Time
+	provenAt     bootclock.Time
+	proven       bool
 }
 
 // Member returns the replica id and the VM of this process.
@@ -65,3 +68,9 @@
 func (s Status) QuorumAge(now time.Time) time.Duration {
 	return s.quorumAge + now.Sub(s.at)
 }
+
+// RoutesProvenAt returns the latest time for which this VM, as the leader, can prove that no
+// revision above that of Routes was acknowledged before it. It returns false on any other
+// VM, and before the leader has committed an entry of its own term. The time does not change
+// while this VM is suspended or can't reach a quorum.
+func (s Status) RoutesProvenAt() (bootclock.Time, bool) { return s.provenAt, s.proven }
--- a/core/process/replica/read.go
+++ b/core/process/replica/read.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // ReadIndex returns the index that must be applied before a read that starts now
 // is served. It returns false unless this replica is the leader and has
@@ -36,6 +39,34 @@
 	return n.quorumContactTime(now), true
 }
 
+// AcknowledgedContact returns the latest time at which a quorum is known to have followed
+// this leader, counting only voters that have answered a message of its current term. No
+// other leader can have committed an entry before that time, and this leader's commit index
+// covers everything that was acknowledged before. It returns false unless this replica is
+// the leader and has committed an entry of its own term.
+//
+// LastQuorumContact counts a voter that has not answered from the start of the leadership.
+// That is too late if this replica was suspended between the votes and its becoming leader.
+func (n *Node) AcknowledgedContact(now time.Time) (time.Time, bool) {
+	if n.role != Leader || !n.commitInCurrentTerm() {
+		return time.Time{}, false
+	}
+	voters := n.Voters()
+	var times []time.Time
+	for _, m := range voters.members {
+		if m.id == n.self.id {
+			times = append(times, now)
+		} else if ackedAt := n.progressOf(m.id).ackedAt; !ackedAt.IsZero() {
+			times = append(times, ackedAt)
+		}
+	}
+	if len(times) < voters.Quorum() {
+		return time.Time{}, false
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i].After(times[j]) })
+	return times[voters.Quorum()-1], true
+}
+
 // QuorumAge returns the time since the last contact of the leader with a quorum,
 // as far as this replica knows. On a follower it grows until the leader reports a
 // later contact, and it does not include the transit time of the leader's message.
