teams: keys, priorities and revocation that holds on every VM

Requests on routes that are not public need the key of a team if the table has teams. The dispatcher checks it with the newest table, on arrival and before each batch of sends; an unknown key gets 401 only while the table is certain to be the newest. With strict revocation keys are accepted only while a proof from the control VMs is valid. Tables without teams cause no messages and no checks.

--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -85,7 +85,12 @@
 // http.Transport, which could send them a second time.
 func (n HeaderNames) encodeRequest(a relay.Attempt, now time.Time) []byte {
 	r := a.Request()
-	header := r.WireHeader(n.encodeHeader)
+	var header []byte
+	if a.Identity().HidesKey() {
+		header = r.PlainHeader(n.encodePlainHeader)
+	} else {
+		header = r.WireHeader(n.encodeHeader)
+	}
 	out := make([]byte, 0, requestLineBytes+len(r.URI())+len(header)+len(r.Body()))
 	out = append(out, r.Method()...)
 	out = append(out, ' ')
@@ -95,6 +100,9 @@
 	out = appendField(out, n.request, r.ID())
 	out = appendField(out, n.deadline, strconv.FormatInt(max(1, a.Deadline().Sub(now).Milliseconds()), 10))
 	out = appendField(out, n.target, a.Instance().ID())
+	if team := a.Identity().Team(); team != "" {
+		out = appendField(out, n.team, team)
+	}
 	if len(r.Body()) > 0 || r.Method() != http.MethodGet && r.Method() != http.MethodHead {
 		out = appendField(out, "Content-Length", strconv.Itoa(len(r.Body())))
 	}
@@ -112,6 +120,15 @@
 	return out.Bytes()
 }
 
+// encodePlainHeader is encodeHeader without the caller's key and the team that the caller
+// claims to be.
+func (n HeaderNames) encodePlainHeader(h http.Header) []byte {
+	var out bytes.Buffer
+	// Writes to a bytes.Buffer never fail.
+	_ = h.WriteSubset(&out, map[string]bool{n.request: true, n.deadline: true, n.target: true, n.key: true, n.team: true})
+	return out.Bytes()
+}
+
 // lineBreaks replaces the characters that would end a header field.
 var lineBreaks = strings.NewReplacer("\r", " ", "\n", " ")
 
--- a/core/connection/exchange/names.go
+++ b/core/connection/exchange/names.go
@@ -1,5 +1,7 @@
 package exchange
 
+import "net/http"
+
 // HeaderNames holds the names of the headers that requests, responses and
 // merged responses carry in addition to those that HTTP defines.
 type HeaderNames struct {
@@ -12,6 +14,8 @@
 	leaving   string
 	parts     string
 	missing   string
+	key       string
+	team      string
 }
 
 // NewHeaderNames returns the names of the request headers: the request id, the
@@ -48,13 +52,22 @@
 	return n
 }
 
+// WithTeams returns the names with those of the request headers for teams: the key with
+// which a caller identifies itself, and the name of the team that a target gets instead.
+func (n HeaderNames) WithTeams(key, team string) HeaderNames {
+	n.key = http.CanonicalHeaderKey(key)
+	n.team = http.CanonicalHeaderKey(team)
+	return n
+}
+
 // OwnHeaderNames returns the header names that this system uses in its own HTTP
 // interface.
 func OwnHeaderNames() HeaderNames {
 	return NewHeaderNames("Mulberrydale-Request", "Mulberrydale-Deadline-Ms", "Mulberrydale-Target").
 		WithResponse("Mulberrydale-Signature", "Mulberrydale-Load", "Mulberrydale-Not-Run").
 		WithLeaving("Mulberrydale-Leaving").
-		WithMerged("Mulberrydale-Parts", "Mulberrydale-Missing")
+		WithMerged("Mulberrydale-Parts", "Mulberrydale-Missing").
+		WithTeams("Mulberrydale-Key", "Mulberrydale-Team")
 }
 
 // Request returns the name of the header with the request id.
@@ -86,3 +99,9 @@
 // Missing returns the name of the header with the number of shards that are
 // missing from a merged response.
 func (n HeaderNames) Missing() string { return n.missing }
+
+// Key returns the name of the header with the key of a caller.
+func (n HeaderNames) Key() string { return n.key }
+
+// Team returns the name of the header with the team of a request.
+func (n HeaderNames) Team() string { return n.team }
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -138,6 +138,7 @@
 	// entryVMSeen from each entry VM.
 	dataCentreSeen map[string]time.Time
 	entryVMSeen    map[string]time.Time
+	confirming     confirming
 }
 
 // New returns the cluster of the process self. The seeds are the addresses of the
@@ -155,6 +156,7 @@
 		health:         health.NewTable(),
 		dataCentreSeen: make(map[string]time.Time),
 		entryVMSeen:    make(map[string]time.Time),
+		confirming:     newConfirming(),
 	}
 }
 
@@ -284,6 +286,7 @@
 		}
 		c.dropExpiredControlVMs(now)
 		c.sendPresences(now)
+		c.renewConfirmation(now)
 	}
 }
 
@@ -298,9 +301,11 @@
 		c.routes = routes
 	}
 	c.mu.Unlock()
+	c.confirming.holder.Learn(routes.Revision())
 	if newer {
 		c.log.Info("adopted newer routes", zap.Uint64("revision", routes.Revision()), zap.Uint64("version", routes.Version()), zap.Strings("out-of-service", routes.OutOfService()))
 		c.observer.RoutesChanged(routes, now)
+		c.renewConfirmation(now)
 	}
 	return newer
 }
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -27,6 +27,7 @@
 	c.mu.Lock()
 	r := c.sessions[s]
 	delete(c.sessions, s)
+	c.confirming.relay.Forget(s)
 	c.mu.Unlock()
 	if r != nil && r.identified && r.presence.Address() != "" {
 		c.log.Info("session to a control VM closed", zap.String("control-vm", r.presence.VM()), zap.String("address", r.presence.Address()))
@@ -58,6 +59,10 @@
 		go (&forwardedCommand{cluster: c, session: s, message: m}).run()
 	case peer.ReadRoutes:
 		go (&forwardedRead{cluster: c, session: s, number: m.Number()}).run()
+	case peer.ConfirmRevision:
+		c.receiveConfirmRevision(s, m)
+	case peer.RevisionConfirmed:
+		c.receiveRevisionConfirmed(m)
 	case peer.Reply:
 		c.calls.Resolve(m)
 	case peer.Hello, peer.Heartbeat, peer.ConfigurationPush, peer.TargetUpdates:
@@ -92,6 +97,7 @@
 	r.lastSeen = now
 	if c.control == nil {
 		c.reportedEntryVMs = max(1, p.EntryVMCount())
+		c.confirming.holder.Learn(p.Revision())
 	}
 	c.dataCentreSeen[p.DataCentre()] = now
 	if p.Address() == "" {
@@ -106,6 +112,7 @@
 	receivedList := c.refreshReceivedList(r, now)
 	c.mu.Unlock()
 	if firstPresence && p.Address() != "" {
+		c.confirming.holder.Hasten()
 		c.log.Info("session to a control VM established", zap.String("control-vm", p.VM()), zap.String("address", p.Address()), zap.Uint64("revision", p.Revision()))
 	}
 	c.addControlVMs(append(p.ControlVMs(), p.Address()), now)
--- a/core/process/confirmation/schedule.go
+++ b/core/process/confirmation/schedule.go
@@ -110,6 +110,14 @@
 	return 1
 }
 
+// Hasten lets a question that got no useful answer be put again soon, because a control VM
+// has become reachable.
+func (h *Holder) Hasten() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.schedule.missed = min(h.schedule.missed, 1)
+}
+
 // Ask returns the number of a question that the caller sends now, whether or not one is
 // due.
 func (h *Holder) Ask(now bootclock.Time) uint64 {
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+	"github.com/mulberrydale/mulberrydale/core/process/confirmation"
 	"github.com/mulberrydale/mulberrydale/core/process/drain"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
@@ -67,11 +69,15 @@
 	// lastArrival is the time, in nanoseconds, from startedAt until the latest request
 	// arrived, 0 before the first.
 	lastArrival atomic.Int64
+	// confirmation tells whether the table is known to be the newest, and strict whether
+	// keys are accepted only while it is.
+	confirmation *confirmation.Holder
+	strict       bool
 }
 
 // New returns a dispatcher without a routing table.
 func New(fleet *placement.Fleet, sender Sender) *Dispatcher {
-	d := &Dispatcher{fleet: fleet, sender: sender, startedAt: time.Now(), ended: make(chan struct{})}
+	d := &Dispatcher{fleet: fleet, sender: sender, startedAt: time.Now(), ended: make(chan struct{}), confirmation: confirmation.NewHolder(0)}
 	d.drain.Store(&drain.State{})
 	return d
 }
@@ -117,8 +123,12 @@
 	retries int
 	sends   int
 	missing []string
+	team    string
 }
 
+// Team returns the name of the team of the request, empty if it has none.
+func (t Trace) Team() string { return t.team }
+
 // Version returns the version of the routing table that was used, 0 if there
 // was none.
 func (t Trace) Version() uint64 { return t.version }
@@ -155,9 +165,12 @@
 		return relay.NewRefused(result.UnknownQuery, "no route matches the host and path"), trace
 	}
 	trace.route = route.Name()
-	if refusal, refused := d.authenticate(table, route, req, req.Arrived()); refused {
+	if refusal, refused := d.authenticate(table, route, req, bootclock.Now()); refused {
 		return refusal, trace
 	}
+	if team, ok := req.Team(); ok {
+		trace.team = team.Name()
+	}
 	service := ""
 	if len(route.Shards()) == 0 {
 		service = route.Pick(rand.Float64())
@@ -175,12 +188,16 @@
 		waiters:    make([]*placement.Waiter, len(plan.Services())),
 		latest:     make([]*subRequest, len(plan.Services())),
 		trace:      &trace,
+		identity:   identityOf(table, req),
 	}
 	q.run(ctx)
 	now := time.Now()
 	answer := q.state.Answer(now)
 	if refused, isRefused := answer.(relay.Refused); isRefused && refused.Code().Execution() == result.NotRun {
 		answer = d.withRetryAfter(refused, plan, req, now)
+		if q.forbidden != nil {
+			answer = *q.forbidden
+		}
 	}
 	return answer, trace
 }
@@ -202,7 +219,7 @@
 	maxWait := plan.UnsentDeadline().Sub(now)
 	usable := d.servicesWithTargets(plan.Services(), now)
 	for _, s := range usable {
-		if d.fleet.ExpectedWait(s, plan.Route().Priority(), now) <= maxWait {
+		if d.fleet.ExpectedWait(s, d.priority(plan, req), now) <= maxWait {
 			inTime++
 		}
 	}
@@ -210,7 +227,7 @@
 	case len(usable) < plan.MinParts():
 		return d.refuseUnusable(plan, req, now), true
 	case inTime < plan.MinParts():
-		return relay.NewRefused(result.Overloaded, "the wait for a target would be too long").WithRetryAfter(retryAfter(d.longestWait(plan, now), req)), true
+		return relay.NewRefused(result.Overloaded, "the wait for a target would be too long").WithRetryAfter(retryAfter(d.longestWait(plan, req, now), req)), true
 	}
 	return relay.Refused{}, false
 }
@@ -262,15 +279,15 @@
 	if wait, known := d.fleet.UntilUsable(plan.Services(), plan.MinParts(), now); known && wait > 0 {
 		return refused.WithRetryAfter(wait + spread(minRetryAfter))
 	}
-	return refused.WithRetryAfter(retryAfter(d.longestWait(plan, now), req))
+	return refused.WithRetryAfter(retryAfter(d.longestWait(plan, req, now), req))
 }
 
 // longestWait returns the longest expected queueing time among the services of
 // a plan.
-func (d *Dispatcher) longestWait(plan relay.Plan, now time.Time) time.Duration {
+func (d *Dispatcher) longestWait(plan relay.Plan, req *relay.Request, now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for _, s := range plan.Services() {
-		longest = max(longest, d.fleet.ExpectedWait(s, plan.Route().Priority(), now))
+		longest = max(longest, d.fleet.ExpectedWait(s, d.priority(plan, req), now))
 	}
 	return longest
 }
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -32,6 +32,12 @@
 	// latest has the latest attempt for each part, nil before the first.
 	latest []*subRequest
 	trace  *Trace
+	// identity is what targets learn about the team of the request.
+	identity relay.Identity
+	// checked is set once the request was found to be permitted or not after the latest
+	// event, and forbidden is its refusal if it is not.
+	checked   bool
+	forbidden *relay.Refused
 
 	// cancelMu guards cancels, the cancel functions of all attempts, and
 	// finished.
@@ -53,6 +59,7 @@
 	for n := range q.state.NumParts() {
 		q.sendFirst(n, now)
 	}
+	q.checked = false
 	now = time.Now()
 	timer := time.NewTimer(time.Until(q.state.NextTime(now)))
 	defer timer.Stop()
@@ -72,6 +79,7 @@
 			return
 		}
 		q.sendDue(now)
+		q.checked = false
 		timer.Reset(q.state.NextTime(now).Sub(now))
 	}
 	q.finish(false)
@@ -85,6 +93,10 @@
 // sendFirst sends the first attempt of part n, or queues it if no target has
 // capacity left. The part is given up if its service has no usable target.
 func (q *query) sendFirst(n int, now time.Time) {
+	if !q.permitted() {
+		q.state.GiveUp(n)
+		return
+	}
 	lease, ok := q.dispatcher.fleet.Acquire(q.leaseRequest(n), now)
 	if ok {
 		q.send(n, lease, now)
@@ -101,7 +113,7 @@
 func (q *query) enqueue(n int, now time.Time) {
 	q.leases[n] = make(chan *placement.Lease, 1)
 	q.state.MarkWaiting(n)
-	q.waiters[n] = q.dispatcher.fleet.Enqueue(q.leaseRequest(n), q.state.Plan().Route().Priority(), q.state.Plan().End(), q.leases[n], now)
+	q.waiters[n] = q.dispatcher.fleet.Enqueue(q.leaseRequest(n), q.dispatcher.priority(q.state.Plan(), q.request), q.state.Plan().End(), q.leases[n], now)
 	q.sendIfLeased(n, now)
 }
 
@@ -125,7 +137,8 @@
 	q.cancelMu.Lock()
 	q.cancels = append(q.cancels, cancel)
 	q.cancelMu.Unlock()
-	attempt := relay.NewAttempt(q.request, lease.Instance(), plan.End(), q.state.AtMostOnce()).WithIdleTimeout(lease.IdleTimeout())
+	attempt := relay.NewAttempt(q.request, lease.Instance(), plan.End(), q.state.AtMostOnce()).
+		WithIdleTimeout(lease.IdleTimeout()).WithIdentity(q.identity)
 	if len(plan.Route().Shards()) > 0 {
 		attempt = attempt.WithWholeResponse()
 	}
@@ -213,6 +226,10 @@
 // up if no lease is available. An exempt attempt is not charged to the retry
 // budget.
 func (q *query) sendAgain(n int, exempt bool, now time.Time) {
+	if !q.permitted() {
+		q.state.GiveUp(n)
+		return
+	}
 	r := q.leaseRequest(n).ExtraAttempt(q.state.Tried(n), exempt)
 	lease, ok := q.dispatcher.fleet.Acquire(r, now)
 	if !ok && len(q.state.Tried(n)) >= q.dispatcher.fleet.UsableTargets(q.state.Plan().Services()[n], now) {
@@ -233,6 +250,9 @@
 // was sent.
 func (q *query) sendDue(now time.Time) {
 	for _, n := range q.state.DueHedges(now) {
+		if !q.permitted() {
+			break
+		}
 		if remaining := q.overdueAfter(n) - q.latest[n].waitedSince(now); remaining > 0 {
 			q.state.PostponeHedge(n, now.Add(max(remaining, minHedgePostponement)))
 			continue
@@ -245,6 +265,10 @@
 	}
 	for n := range q.state.NumParts() {
 		if q.state.Waiting(n) {
+			if !q.permitted() {
+				q.giveUpWaiting(now)
+				return
+			}
 			q.dispatcher.fleet.RecheckQueue(q.waiters[n], now)
 			q.sendIfLeased(n, now)
 			q.giveUpIfUnusable(n, now)
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -10,7 +10,9 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/exchange"
 	"github.com/mulberrydale/mulberrydale/core/connection/upstream"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
+	"github.com/mulberrydale/mulberrydale/core/process/confirmation"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/dispatch"
 	"github.com/mulberrydale/mulberrydale/core/process/drain"
@@ -37,6 +39,10 @@
 	// isolated is set while data centres are unreachable and
 	// dispatch.Dispatcher.Servable reports false.
 	isolated atomic.Bool
+	// confirmation tells whether the routes in force are known to be the newest.
+	confirmation *confirmation.Holder
+	// wasConfirmed is what watchConfirmation found last.
+	wasConfirmed bool
 }
 
 // RouteDecoder decodes and validates a document of routes.
@@ -45,8 +51,9 @@
 // NewEntry returns the entry role of a VM in a data centre, without routes and
 // targets.
 func NewEntry(vm, centre string, limits placement.Limits, names exchange.HeaderNames, decodeRoutes RouteDecoder, telemetry *Telemetry, log *zap.Logger) *Entry {
-	e := &Entry{fleet: placement.NewFleet(vm, centre, limits, time.Now()), pool: upstream.NewPool(), decodeRoutes: decodeRoutes, log: log}
+	e := &Entry{fleet: placement.NewFleet(vm, centre, limits, time.Now()), pool: upstream.NewPool(), decodeRoutes: decodeRoutes, log: log, confirmation: confirmation.NewHolder(0)}
 	e.dispatcher = dispatch.New(e.fleet, exchange.NewSender(e.pool, names))
+	e.dispatcher.SetConfirmation(e.confirmation)
 	e.gateway = &gateway{dispatcher: e.dispatcher, names: names, telemetry: telemetry, isIsolated: e.isolated.Load}
 	return e
 }
@@ -62,8 +69,14 @@
 func (e *Entry) SetCluster(c *cluster.Cluster) {
 	e.cluster = c
 	c.SetFindingSource(e.fleet)
+	e.confirmation = c.Confirmation()
+	e.dispatcher.SetConfirmation(e.confirmation)
 }
 
+// SetStrictRevocation sets whether keys are accepted only while the routes are confirmed to
+// be the newest. It must be called before Start.
+func (e *Entry) SetStrictRevocation(strict bool) { e.dispatcher.SetStrictRevocation(strict) }
+
 // Handler returns the HTTP handler for the requests of callers.
 func (e *Entry) Handler() http.Handler { return e.gateway }
 
@@ -108,6 +121,7 @@
 		return
 	}
 	if t := e.dispatcher.Table(); t != nil && t.Version() >= routes.Version() {
+		e.confirmation.PutInForce(routes.Revision(), t.HasTeams())
 		return
 	}
 	t, err := e.decodeRoutes(routes.Document())
@@ -116,6 +130,7 @@
 		return
 	}
 	e.dispatcher.SetTable(t)
+	e.confirmation.PutInForce(routes.Revision(), t.HasTeams())
 }
 
 // TargetsRead replaces the list of targets and closes the idle connections
@@ -191,6 +206,7 @@
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
 	e.gateway.telemetry.recordTargetChanges(e.fleet.TakeChanges())
+	e.watchConfirmation(bootclock.Now())
 	isolated := len(unreachable) > 0 && !e.dispatcher.Servable(now)
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("target reachability changed", zap.Bool("isolated", isolated), zap.Strings("data-centres", unreachable))
--- a/core/process/gateway/gateway.go
+++ b/core/process/gateway/gateway.go
@@ -26,6 +26,9 @@
 // table or if it declares no limit.
 const defaultMaxBodyBytes = 8 << 20
 
+// noRoutesRetryAfter is the time after which a VM without routes usually has them.
+const noRoutesRetryAfter = 300 * time.Millisecond
+
 const (
 	// streamBufferBytes is the size of the buffer through which the rest of a
 	// response is copied, which is the part that follows its buffered beginning.
@@ -85,6 +88,11 @@
 		limit = t.Limits().BodyBytes()
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if g.dispatcher.Table() == nil && (err != nil || int64(len(body)) > limit) {
+		// Without routes no request may be refused for good.
+		refused := relay.NewRefused(result.NoConfiguration, "this VM has no routes yet").WithRetryAfter(noRoutesRetryAfter)
+		return nil, &refused
+	}
 	if err != nil {
 		refused := relay.NewRefused(result.BadRequest, "the request body ended early")
 		return nil, &refused
@@ -97,7 +105,8 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
-	req := relay.NewRequest(id, r.Method, r.Host, r.RequestURI, r.URL.EscapedPath(), exchange.EndToEnd(r.Header), body, arrived)
+	req := relay.NewRequest(id, r.Method, r.Host, r.RequestURI, r.URL.EscapedPath(), exchange.EndToEnd(r.Header), body, arrived).
+		WithCredential(relay.ReadCredential(r.Header[g.names.Key()]))
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.names.Deadline()), 64); err == nil && ms > 0 && ms < maxDeadlineMillis {
 		req = req.WithTimeout(time.Duration(ms * float64(time.Millisecond)))
 	}
@@ -204,6 +213,8 @@
 		return http.StatusBadRequest
 	case result.DocumentTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case result.UnknownTeam:
+		return http.StatusUnauthorized
 	case result.TimedOut:
 		return http.StatusGatewayTimeout
 	}
--- a/core/process/gateway/telemetry.go
+++ b/core/process/gateway/telemetry.go
@@ -73,6 +73,9 @@
 		zap.String("outcome", outcome), zap.Duration("took", took), zap.Duration("deadline", req.Timeout()),
 		zap.Int("sends", trace.Sends()), zap.Int("hedges", trace.Hedges()), zap.Int("retries", trace.Retries()),
 	}
+	if trace.Team() != "" {
+		fields = append(fields, zap.String("team", trace.Team()))
+	}
 	if clean {
 		fields = append(fields, zap.Int("one-of", sampleEvery))
 	}
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -124,7 +124,9 @@
 	}
 	p.cluster = cluster.New(identity, s.seeds, p.adapter.NewListReader(s, p.log), observer, p.log)
 	if p.entry != nil {
+		p.cluster.Confirmation().SetWithin(s.revocation.within)
 		p.entry.SetCluster(p.cluster)
+		p.entry.SetStrictRevocation(s.revocation.strict)
 	}
 	sessionsListener, err := p.startControl()
 	if err != nil {
--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -34,6 +34,21 @@
 	voters            int
 	limits            placement.Limits
 	targetTimes       placement.TargetTimes
+	revocation        Revocation
+}
+
+// Revocation states how soon a key that a configuration takes away stops to be accepted.
+type Revocation struct {
+	strict bool
+	within time.Duration
+}
+
+// NewRevocation returns the bound. If strict is true, no VM accepts a key for longer than
+// within after the acknowledgement of a configuration without it, even if it has lost
+// touch; it refuses requests with keys instead. If strict is false, a VM that has lost
+// touch goes on with the keys that it knows.
+func NewRevocation(strict bool, within time.Duration) Revocation {
+	return Revocation{strict: strict, within: within}
 }
 
 // NewSettings returns the settings of a VM in a data centre that serves metrics
@@ -94,6 +109,12 @@
 	return s
 }
 
+// WithRevocation sets how soon a key that was taken away stops to be accepted.
+func (s Settings) WithRevocation(r Revocation) Settings {
+	s.revocation = r
+	return s
+}
+
 // WithGracePeriod sets the time between SIGTERM and SIGKILL.
 func (s Settings) WithGracePeriod(d time.Duration) Settings {
 	s.gracePeriod = d
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -125,9 +125,8 @@
 }
 
 // Enqueue adds a first attempt to the queue of its service. Its lease is sent
-// to notify, which must be buffered, when a target has capacity left. Lower
-// values of priority are served first.
-func (f *Fleet) Enqueue(r LeaseRequest, priority int, deadline time.Time, notify chan<- *Lease, now time.Time) *Waiter {
+// to notify, which must be buffered, when a target has capacity left.
+func (f *Fleet) Enqueue(r LeaseRequest, priority Priority, deadline time.Time, notify chan<- *Lease, now time.Time) *Waiter {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(r.service)
@@ -152,13 +151,13 @@
 
 // ExpectedWait returns how long a new request of a priority would wait in the
 // queue of a service.
-func (f *Fleet) ExpectedWait(service string, priority int, now time.Time) time.Duration {
+func (f *Fleet) ExpectedWait(service string, priority Priority, now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := &f.group(service).queue
 	ahead := 0
 	for _, w := range q.waiting {
-		if w.priority <= priority {
+		if !priority.before(w.priority) {
 			ahead++
 		}
 	}
--- a/core/process/placement/leaving_test.go
+++ b/core/process/placement/leaving_test.go
@@ -228,7 +228,7 @@
 		}
 	}
 	notify := make(chan *placement.Lease, 1)
-	f.Enqueue(placement.NewLeaseRequest("s-1", "k"), 1, start.Add(time.Minute), notify, start)
+	f.Enqueue(placement.NewLeaseRequest("s-1", "k"), placement.NewPriority(0, 1), start.Add(time.Minute), notify, start)
 	f.SetTargets(readList(3, start, 2, 1), start)
 	first.Leaving(start)
 	first.Succeeded(start.Add(time.Millisecond))
--- a/core/process/placement/placement_test.go
+++ b/core/process/placement/placement_test.go
@@ -284,7 +284,9 @@
 	return n
 }
 
-func TestWaitersAreServedByPriorityThenDeadline(t *testing.T) {
+// A request of an urgent team must not wait behind a less urgent team's, whatever their
+// routes.
+func TestWaitersAreServedByTeamThenRouteThenDeadline(t *testing.T) {
 	f := newTestFleet(newService(), "dc-1")
 	var held []*placement.Lease
 	for {
@@ -295,15 +297,15 @@
 		held = append(held, l)
 	}
 	waiters := []struct {
-		priority int
-		deadline time.Duration
-	}{{2, time.Second}, {1, 2 * time.Second}, {1, time.Second}}
+		team, route int
+		deadline    time.Duration
+	}{{0, 2, time.Second}, {0, 1, 2 * time.Second}, {0, 1, time.Second}, {1, 0, time.Millisecond}}
 	notify := make([]chan *placement.Lease, len(waiters))
 	for n, r := range waiters {
 		notify[n] = make(chan *placement.Lease, 1)
-		f.Enqueue(placement.NewLeaseRequest("s-1", "k"), r.priority, start.Add(r.deadline), notify[n], start)
+		f.Enqueue(placement.NewLeaseRequest("s-1", "k"), placement.NewPriority(r.team, r.route), start.Add(r.deadline), notify[n], start)
 	}
-	for _, want := range []int{2, 1, 0} {
+	for _, want := range []int{2, 1, 0, 3} {
 		held[0].Succeeded(start)
 		select {
 		case l := <-notify[want]:
@@ -355,11 +357,11 @@
 	request := placement.NewLeaseRequest("s-1", "k")
 	expectWait := func(now time.Time, most time.Duration) {
 		t.Helper()
-		wait := f.ExpectedWait("s-1", 1, now)
+		wait := f.ExpectedWait("s-1", placement.NewPriority(0, 1), now)
 		assert.Assert(t, wait >= 0 && wait <= most, "%v", wait)
 	}
 	enqueue := func(now time.Time) *placement.Waiter {
-		return f.Enqueue(request, 1, now.Add(time.Second), make(chan *placement.Lease, 1), now)
+		return f.Enqueue(request, placement.NewPriority(0, 1), now.Add(time.Second), make(chan *placement.Lease, 1), now)
 	}
 	first, ok := f.Acquire(request, start)
 	assert.Assert(t, ok)
--- a/core/process/placement/queue.go
+++ b/core/process/placement/queue.go
@@ -5,12 +5,30 @@
 	"time"
 )
 
+// Priority orders the requests in the queue of a service: by the priority of their team,
+// and by that of their route among equal ones. Lower values are served first.
+type Priority struct {
+	team  int
+	route int
+}
+
+// NewPriority returns the priority of a request of a team on a route.
+func NewPriority(team, route int) Priority { return Priority{team: team, route: route} }
+
+// before reports whether requests of priority p are served before those of other.
+func (p Priority) before(other Priority) bool {
+	if p.team != other.team {
+		return p.team < other.team
+	}
+	return p.route < other.route
+}
+
 // Waiter is a first attempt that is queued until a target of its service has
 // capacity left.
 type Waiter struct {
 	group    *group
 	kind     string
-	priority int
+	priority Priority
 	deadline time.Time
 	notify   chan<- *Lease
 	granted  bool
@@ -31,7 +49,7 @@
 // before reports whether w is served before other.
 func (w *Waiter) before(other *Waiter) bool {
 	if w.priority != other.priority {
-		return w.priority < other.priority
+		return w.priority.before(other.priority)
 	}
 	return w.deadline.Before(other.deadline)
 }
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -22,6 +22,7 @@
 	atMostOnce         bool
 	needsWholeResponse bool
 	idleTimeout        time.Duration
+	identity           Identity
 }
 
 // NewAttempt returns the send of a request to a target that must answer by the
@@ -45,6 +46,15 @@
 	return a
 }
 
+// WithIdentity returns a copy of the attempt that tells the target the team of the request.
+func (a Attempt) WithIdentity(i Identity) Attempt {
+	a.identity = i
+	return a
+}
+
+// Identity returns what the target learns about the team of the request.
+func (a Attempt) Identity() Identity { return a.identity }
+
 // IdleTimeout returns the maximum time for which the connection is kept idle, or
 // 0 if it is kept until the target closes it.
 func (a Attempt) IdleTimeout() time.Duration { return a.idleTimeout }
--- a/core/request/relay/request.go
+++ b/core/request/relay/request.go
@@ -21,10 +21,13 @@
 	deadline time.Time
 	team     routing.Team
 	hasTeam  bool
+	key      Credential
 
-	// wireHeader is the result of WireHeader.
-	wireHeaderOnce sync.Once
-	wireHeader     []byte
+	// wireHeader is the result of WireHeader, plainHeader that of PlainHeader.
+	wireHeaderOnce  sync.Once
+	wireHeader      []byte
+	plainHeaderOnce sync.Once
+	plainHeader     []byte
 }
 
 // NewRequest returns a request that arrived at the given time. The path selects
@@ -40,6 +43,16 @@
 	return r
 }
 
+// WithCredential sets the key with which the caller identifies itself. It changes r and
+// returns it.
+func (r *Request) WithCredential(c Credential) *Request {
+	r.key = c
+	return r
+}
+
+// Credential returns the key with which the caller identifies itself.
+func (r *Request) Credential() Credential { return r.key }
+
 // WithTeam sets the team to which the request belongs. It changes r and returns it.
 func (r *Request) WithTeam(t routing.Team) *Request {
 	r.team = t
@@ -74,6 +87,13 @@
 	return r.wireHeader
 }
 
+// PlainHeader returns the header as it is written to targets that must not get the
+// caller's key. It is encoded once, like WireHeader.
+func (r *Request) PlainHeader(encode func(http.Header) []byte) []byte {
+	r.plainHeaderOnce.Do(func() { r.plainHeader = encode(r.header) })
+	return r.plainHeader
+}
+
 // Body returns the complete body.
 func (r *Request) Body() []byte { return r.body }
 
--- a/core/version/document/document.go
+++ b/core/version/document/document.go
@@ -28,6 +28,8 @@
 	source []byte
 	root   hujson.Value
 	faults []Fault
+	// hidden has the paths below which faults don't show values.
+	hidden []string
 }
 
 // Parse parses a document. If the document is too large, its values are nested
@@ -51,6 +53,35 @@
 	return d, nil
 }
 
+// HideValues keeps the faults at a path and below from showing values, which may be secret:
+// faults are logged and passed on.
+func (d *Document) HideValues(path string) { d.hidden = append(d.hidden, path) }
+
+// describe names the kind of the value at a path or, if it may be shown, returns its text.
+func (d *Document) describe(path string, value *hujson.Value) string {
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok {
+		return describeValue(value)
+	}
+	for _, hidden := range d.hidden {
+		if path == hidden || strings.HasPrefix(path, hidden+"/") {
+			return describeKind(literal)
+		}
+	}
+	return describeValue(value)
+}
+
+// describeKind names the kind of a value that must not be shown.
+func describeKind(literal hujson.Literal) string {
+	switch literal.Kind() {
+	case '"':
+		return "a string"
+	case '0':
+		return "a number"
+	}
+	return "another value"
+}
+
 // Root returns the top-level object of the document. If the top-level value is
 // not an object, Root records a fault and returns an object without members,
 // which records no faults about missing keys.
--- a/core/version/document/object.go
+++ b/core/version/document/object.go
@@ -44,7 +44,7 @@
 	}
 	raw, ok := value.Value.(*hujson.Object)
 	if !ok {
-		d.addFaultAt(result.WrongType, path, value.StartOffset, "found %s", "write an object in braces", describeValue(value))
+		d.addFaultAt(result.WrongType, path, value.StartOffset, "found %s", "write an object in braces", d.describe(path, value))
 		o.invalid = true
 		return o
 	}
@@ -273,7 +273,7 @@
 }
 
 func (o *Object) addWrongType(key string, value *hujson.Value, expected string) {
-	o.doc.addFaultAt(result.WrongType, o.path+"/"+key, value.StartOffset, "found %s", "write "+expected, describeValue(value))
+	o.doc.addFaultAt(result.WrongType, o.path+"/"+key, value.StartOffset, "found %s", "write "+expected, o.doc.describe(o.path+"/"+key, value))
 }
 
 // describeValue names the kind of an object or list, and returns the text of
--- a/core/version/routing/team.go
+++ b/core/version/routing/team.go
@@ -71,6 +71,16 @@
 // HasTeams reports whether the table has teams.
 func (t *Table) HasTeams() bool { return len(t.teams) > 0 }
 
+// LeastPriority returns the priority of the least urgent team, 0 without teams. It is that of
+// requests on public routes without a known key, which must not go before those of a team.
+func (t *Table) LeastPriority() int {
+	least := 0
+	for _, team := range t.teams {
+		least = max(least, team.priority)
+	}
+	return least
+}
+
 // TeamOf returns the team that holds a key, and whether there is one.
 func (t *Table) TeamOf(key KeyDigest) (Team, bool) {
 	n, ok := t.teamByKey[key]
--- a/mulberrydale/routes/document.go
+++ b/mulberrydale/routes/document.go
@@ -49,11 +49,12 @@
 		services = append(services, decodeService(o))
 	}
 	limits := decodeLimits(root)
+	teams := decodeTeams(doc, root)
 	root.ReportUnknownKeys()
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
-	t := routing.NewTable(uint64(version), routes, services, limits)
+	t := routing.NewTable(uint64(version), routes, services, limits).WithTeams(teams)
 	return t, t.Check()
 }
 
@@ -64,7 +65,8 @@
 	r := routing.NewRoute(o.String("name"), o.String("host"), o.String("path")).
 		WithTimeoutAndObjective(o.Milliseconds("time-limit-ms", 1, maxMillis), time.Duration(o.IntOr("objective-ms", 0, maxMillis, 0))*time.Millisecond).
 		WithPriority(o.IntOr("rank", 0, maxRank, 0)).
-		WithMaxAttempts(o.IntOr("attempts", 1, maxAttempts, 1))
+		WithMaxAttempts(o.IntOr("attempts", 1, maxAttempts, 1)).
+		WithPublic(o.BoolOr("public", false))
 	switch kind := o.StringOr("kind", kindNonIdempotent); kind {
 	case kindIdempotent:
 	case kindNonIdempotent:
@@ -91,6 +93,25 @@
 	return split
 }
 
+// decodeTeams decodes the teams, whose keys don't appear in faults.
+func decodeTeams(doc *document.Document, root *document.Object) []routing.Team {
+	if !root.Has("teams") {
+		return nil
+	}
+	doc.HideValues(root.Path() + "/teams")
+	var teams []routing.Team
+	for _, o := range root.Objects("teams") {
+		var keys []routing.KeyDigest
+		for _, key := range o.Strings("keys") {
+			keys = append(keys, routing.DigestKey(key))
+		}
+		teams = append(teams, routing.NewTeam(o.String("name"), keys, o.IntOr("rank", 0, maxRank, 0)).
+			WithQuota(o.NumberOr("rate", 0, maxRate, 0), o.NumberOr("burst", 0, maxRate, 0)))
+		o.ReportUnknownKeys()
+	}
+	return teams
+}
+
 // decodeService decodes an entry of services.
 func decodeService(o *document.Object) routing.Service {
 	s := routing.NewService(o.String("name"), "").
--- a/mulberrydale/routes/settings.go
+++ b/mulberrydale/routes/settings.go
@@ -20,10 +20,14 @@
 	defaultColdOverage              = 1.0
 	defaultListLagMillis            = 1000
 	defaultDrainTimeoutMillis       = 3000
+	defaultRevocationMillis         = 5000
 	defaultMetricsAddress           = "127.0.0.1:9464"
 	maxLosses                       = 1000
 	maxRatio                        = 100
 	maxRequestsInWindow             = 1e6
+	// minRevocationMillis is above the time that an election takes, during which no
+	// confirmation is renewed.
+	minRevocationMillis = 1000
 )
 
 // DecodeSettings decodes and checks the text of a settings file, JSON with comments
@@ -40,6 +44,7 @@
 		WithTargetTimes(placement.NewTargetTimes(
 			time.Duration(root.IntOr("list-lag-ms", 0, maxMillis, defaultListLagMillis))*time.Millisecond,
 			time.Duration(root.IntOr("target-drain-ms", 0, maxMillis, defaultDrainTimeoutMillis))*time.Millisecond)).
+		WithRevocation(decodeRevocation(root)).
 		WithSeeds(decodeSeeds(doc, root), root.BoolOr("first-start", false)).
 		WithTargets(root.Address("targets-address"), decodePlacementLimits(root))
 	if root.Has("callers-address") {
@@ -60,6 +65,19 @@
 	return s, doc.Err()
 }
 
+// decodeRevocation decodes the key revocation: with strict, no VM accepts a key for longer
+// than within-ms after the acknowledgement of routes without it.
+func decodeRevocation(o *document.Object) host.Revocation {
+	strict, within := false, defaultRevocationMillis
+	if o.Has("revocation") {
+		r := o.Object("revocation")
+		strict = r.BoolOr("strict", false)
+		within = r.IntOr("within-ms", minRevocationMillis, maxMillis, within)
+		r.ReportUnknownKeys()
+	}
+	return host.NewRevocation(strict, time.Duration(within)*time.Millisecond)
+}
+
 // decodeMetricsAddress returns metrics-address, or defaultMetricsAddress if the key is
 // missing.
 func decodeMetricsAddress(o *document.Object) string {
