confirmation: tables and simulated time

Suspended VMs, late and lost messages and deposed leaders at random must never let a VM rely on routes without a change that was acknowledged a lifetime ago; in calm, through elections of 1.2 s and with two of six control VMs lost, every VM stays confirmed.

--- /dev/null
+++ b/core/process/confirmation/sim_test.go
@@ -0,0 +1,363 @@
+package confirmation_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+	"github.com/mulberrydale/mulberrydale/core/process/confirmation"
+)
+
+// The simulation has control VMs of which one may lead, and entry VMs, each with a boot clock
+// of its own. It runs the real Holder and Relay; the replicated log is a list of acknowledged
+// revisions.
+
+const (
+	simTick      = 400 * time.Millisecond
+	simHeartbeat = 100 * time.Millisecond
+)
+
+// simEvent happens at a VM. It is postponed while the VM is suspended and dropped if the VM
+// is down.
+type simEvent struct {
+	at  time.Duration
+	seq int
+	vm  *simVM
+	do  func()
+}
+
+type eventQueue []simEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// simVM is a VM. A control VM has a relay.
+type simVM struct {
+	number         int
+	clockOffset    time.Duration
+	holder         *confirmation.Holder
+	relay          *confirmation.Relay[*simVM]
+	suspendedUntil time.Duration
+	down           bool
+	// leads, revision and contact are what a control VM believes: it may have been
+	// deposed.
+	leads    bool
+	revision uint64
+	contact  time.Duration
+	inForce  uint64
+	turn     int
+}
+
+type sim struct {
+	random   *rand.Rand
+	now      time.Duration
+	seq      int
+	events   eventQueue
+	controls []*simVM
+	entries  []*simVM
+	// leader is the control VM that a quorum follows, nil during an election.
+	leader *simVM
+	// acked holds the time at which each revision was acknowledged, from revision 1.
+	acked []time.Duration
+	// delay returns how long a message travels, negative for a lost one.
+	delay func() time.Duration
+	asks  int
+}
+
+func newSim(controls, entries int, seed uint64) *sim {
+	s := &sim{random: rand.New(rand.NewPCG(seed, 1))}
+	s.delay = func() time.Duration { return time.Duration(200+s.random.IntN(4400)) * time.Microsecond }
+	newVM := func(n int) *simVM {
+		return &simVM{number: n, clockOffset: time.Duration(s.random.Int64N(int64(time.Hour))), holder: confirmation.NewHolder(s.random.Uint64N(1 << 20))}
+	}
+	s.acked = []time.Duration{0}
+	for n := range controls {
+		v := newVM(n)
+		v.relay = confirmation.NewRelay[*simVM]()
+		s.controls = append(s.controls, v)
+		s.every(v, simTick, func() { s.controlTick(v) })
+	}
+	for n := range entries {
+		v := newVM(n)
+		s.entries = append(s.entries, v)
+		s.putInForce(v, 1)
+		s.every(v, simTick, func() { s.entryTick(v) })
+	}
+	s.elect(s.controls[0])
+	s.every(nil, simHeartbeat, s.heartbeat)
+	return s
+}
+
+func (s *sim) boot(v *simVM) bootclock.Time { return bootclock.Time(s.now + v.clockOffset) }
+
+func (s *sim) after(v *simVM, d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{at: s.now + d, seq: s.seq, vm: v, do: do})
+}
+
+// every calls do at a random offset and then at each interval.
+func (s *sim) every(v *simVM, interval time.Duration, do func()) {
+	var tick func()
+	tick = func() {
+		do()
+		s.after(v, interval, tick)
+	}
+	s.after(v, time.Duration(s.random.Int64N(int64(interval))), tick)
+}
+
+func (s *sim) send(to *simVM, do func()) {
+	if d := s.delay(); d >= 0 {
+		s.after(to, d, do)
+	}
+}
+
+// run runs until a time and calls check after each event.
+func (s *sim) run(until time.Duration, check func()) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = max(s.now, e.at)
+		if e.vm != nil && e.vm.suspendedUntil > s.now {
+			s.after(e.vm, e.vm.suspendedUntil-s.now, e.do)
+			continue
+		}
+		if e.vm != nil && e.vm.down {
+			continue
+		}
+		e.do()
+		check()
+	}
+}
+
+// elect makes a control VM the leader. The one before is deposed, but does not know.
+func (s *sim) elect(v *simVM) {
+	s.leader = v
+	v.leads = true
+	v.revision = uint64(len(s.acked))
+	v.contact = s.now
+}
+
+// heartbeat renews the leader's contact with a quorum.
+func (s *sim) heartbeat() {
+	if s.leader != nil && !s.leader.down && s.leader.suspendedUntil <= s.now {
+		s.leader.contact = s.now
+		s.leader.revision = uint64(len(s.acked))
+	}
+}
+
+// publish acknowledges a new revision, and sends it to the entry VMs.
+func (s *sim) publish() {
+	if s.leader == nil || s.leader.down || s.leader.suspendedUntil > s.now {
+		return
+	}
+	s.acked = append(s.acked, s.now)
+	revision := uint64(len(s.acked))
+	s.leader.revision = revision
+	s.leader.contact = s.now
+	for _, v := range s.entries {
+		s.send(v, func() { s.putInForce(v, revision) })
+	}
+}
+
+func (s *sim) putInForce(v *simVM, revision uint64) {
+	v.inForce = max(v.inForce, revision)
+	v.holder.PutInForce(revision, true)
+}
+
+func (s *sim) proof(v *simVM) (confirmation.Proof, bool) {
+	if v.leads {
+		if p := confirmation.NewProof(v.revision, bootclock.Time(v.contact+v.clockOffset)); p.Fresh(s.boot(v)) {
+			return p, true
+		}
+	}
+	p, _ := v.holder.Latest()
+	return p, p.Fresh(s.boot(v))
+}
+
+func (s *sim) entryTick(v *simVM) {
+	q, due := v.holder.Next(len(s.entries)/len(s.controls), s.boot(v))
+	if !due {
+		return
+	}
+	for n := range q.Width() {
+		to := s.controls[(v.number+q.Turn()+n)%len(s.controls)]
+		s.asks++
+		s.send(to, func() { s.question(to, v, q.Number()) })
+	}
+}
+
+func (s *sim) question(at, from *simVM, number uint64) {
+	if p, fresh := s.proof(at); fresh {
+		s.reply(at, from, number, p)
+		return
+	}
+	at.relay.Wait(from, number)
+	s.askLeader(at)
+}
+
+func (s *sim) reply(at, to *simVM, number uint64, p confirmation.Proof) {
+	age := s.boot(at).Sub(p.Since())
+	s.send(to, func() {
+		if to.holder.Answer(number, p.Revision(), age, s.boot(to)) && to.relay != nil {
+			s.release(to)
+		}
+	})
+}
+
+func (s *sim) release(v *simVM) {
+	if p, fresh := s.proof(v); fresh {
+		v.relay.Release(func(to *simVM, number uint64) { s.reply(v, to, number, p) })
+	}
+}
+
+func (s *sim) askLeader(v *simVM) {
+	if leader := s.leader; leader != nil && leader != v && v.relay.MayAskLeader(s.boot(v)) {
+		number := v.holder.Ask(s.boot(v))
+		s.send(leader, func() { s.question(leader, v, number) })
+	}
+}
+
+func (s *sim) controlTick(v *simVM) {
+	s.release(v)
+	if v.relay.Waiting() > 0 {
+		s.askLeader(v)
+	}
+}
+
+// Suspended, partitioned and slow VMs, deposed leaders and late replies in any combination must
+// never let a VM rely on routes that lack a change acknowledged a lifetime ago.
+func TestNoVMTrustsOldRoutes(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSim(5, 8, seed)
+			s.delay = func() time.Duration {
+				switch s.random.IntN(10) {
+				case 0:
+					return -1
+				case 1, 2:
+					return time.Duration(s.random.Int64N(int64(6 * time.Second)))
+				}
+				return time.Duration(s.random.Int64N(int64(20 * time.Millisecond)))
+			}
+			s.every(nil, 700*time.Millisecond, s.publish)
+			s.every(nil, 900*time.Millisecond, func() { s.disturb() })
+			confirmed := 0
+			s.run(60*time.Second, func() {
+				for _, v := range s.entries {
+					confirmed += s.checkTrust(t, v)
+				}
+			})
+			assert.Assert(t, confirmed > 100, "the VMs were hardly ever confirmed, so nothing was checked")
+		})
+	}
+}
+
+// disturb suspends a VM, or lets another control VM lead while the old leader believes that it
+// still does.
+func (s *sim) disturb() {
+	all := append(append([]*simVM(nil), s.controls...), s.entries...)
+	v := all[s.random.IntN(len(all))]
+	if s.random.IntN(2) == 0 {
+		v.suspendedUntil = s.now + time.Duration(s.random.Int64N(int64(8*time.Second)))
+	}
+	if s.random.IntN(3) == 0 {
+		s.elect(s.controls[s.random.IntN(len(s.controls))])
+	}
+}
+
+// checkTrust fails the test if a VM relies on routes that are too old. It returns 1 if the VM
+// relies on its routes.
+func (s *sim) checkTrust(t *testing.T, v *simVM) int {
+	t.Helper()
+	for n, at := range s.acked {
+		revision := uint64(n + 1)
+		if revision <= v.inForce {
+			continue
+		}
+		if v.holder.Confirmed(s.boot(v)) && s.now-at >= lifetime {
+			t.Fatalf("at %v the VM relies on revision %d, but %d was acknowledged at %v", s.now, v.inForce, revision, at)
+		}
+		if v.holder.Certain(s.boot(v)) && s.now-at >= 3*time.Second {
+			t.Fatalf("at %v the VM is certain of revision %d, but %d was acknowledged at %v", s.now, v.inForce, revision, at)
+		}
+	}
+	if v.holder.Confirmed(s.boot(v)) {
+		return 1
+	}
+	return 0
+}
+
+// In calm, through elections and with two of six control VMs lost at once, every VM in touch
+// must hold a confirmation all the time.
+func TestVMsInTouchStayConfirmed(t *testing.T) {
+	tests := []struct {
+		name              string
+		controls, entries int
+		lost              int
+		election          time.Duration
+	}{
+		{"calm, 79 VMs", 6, 79, 0, 0},
+		{"calm, 300 VMs", 6, 300, 0, 0},
+		{"calm, 1,280 VMs for four control VMs", 4, 1280, 0, 0},
+		{"an election", 6, 79, 0, 1200 * time.Millisecond},
+		{"two control VMs lost, one of them the leader", 6, 79, 2, 1200 * time.Millisecond},
+		{"the same with 300 VMs", 6, 300, 2, 1200 * time.Millisecond},
+		{"two of five lost", 5, 79, 2, 1200 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(tt.controls, tt.entries, 3)
+			unconfirmed := 0
+			var oldest time.Duration
+			check := func() {
+				if s.now < time.Second {
+					return
+				}
+				v := s.entries[s.seq%len(s.entries)]
+				if !v.holder.Confirmed(s.boot(v)) {
+					unconfirmed++
+				}
+				if age, _ := v.holder.Status(s.boot(v)).Age(); age > oldest {
+					oldest = age
+				}
+			}
+			for round := range 4 {
+				at := time.Duration(5+8*round) * time.Second
+				s.run(at, check)
+				if tt.election > 0 {
+					s.leader.leads = false
+					s.leader.down = tt.lost > 0 && round == 0
+					s.controls[(s.leader.number+1)%tt.controls].down = tt.lost > 1 && round == 0
+					old := s.leader.number
+					s.leader = nil
+					s.after(nil, tt.election, func() {
+						for n := range tt.controls {
+							if v := s.controls[(old+2+n)%tt.controls]; !v.down {
+								s.elect(v)
+								return
+							}
+						}
+					})
+				}
+			}
+			s.run(40*time.Second, check)
+			t.Logf("oldest confirmation %v, %.2f questions a second and VM", oldest, float64(s.asks)/40/float64(tt.entries))
+			assert.Equal(t, unconfirmed, 0)
+			assert.Assert(t, oldest < 4*time.Second, "%v", oldest)
+		})
+	}
+}
