teams: documents, settings, leader's proof and real processes tested

Keys don't appear in faults of a document, which are logged: neither values below the list of teams nor literals in syntax errors. The leader's proof is checked in the fault simulation of the replicated log, which detects a proof that counts from the election.

--- a/core/process/dispatch/authenticate_test.go
+++ b/core/process/dispatch/authenticate_test.go
@@ -133,10 +133,13 @@
 		outcome relay.Outcome
 		delay   time.Duration
 		refused bool
+		// at is the number of the send after which the key is gone.
+		at int
 	}{
-		{"retry", relay.NewDeclined(relay.Load{}, false, "full"), 0, true},
-		{"free retry", relay.NewUnsent(nil), 0, true},
-		{"hedge", success, 800 * time.Millisecond, false},
+		{"retry", relay.NewDeclined(relay.Load{}, false, "full"), 0, true, 1},
+		{"free retry", relay.NewUnsent(nil), 0, true, 1},
+		{"second retry", relay.NewDeclined(relay.Load{}, false, "full"), 0, true, 2},
+		{"hedge", success, 800 * time.Millisecond, false, 1},
 	}
 	for _, w := range withdrawals {
 		for _, a := range attempts {
@@ -144,7 +147,11 @@
 				synctest.Test(t, func(t *testing.T) {
 					var d *Dispatcher
 					s := &scriptedSender{atSend: func(n int) relay.Outcome {
-						if n > 1 {
+						if n < a.at {
+							time.Sleep(5 * time.Millisecond)
+							return relay.NewDeclined(relay.Load{}, false, "full")
+						}
+						if n > a.at {
 							return success
 						}
 						w.revoke(d)
@@ -153,7 +160,7 @@
 					}}
 					d = teamDispatcher(s, teamTable("k"), "i-1", "i-2", "i-3")
 					answer, _ := d.Answer(t.Context(), teamRequest("k"))
-					assert.Equal(t, s.count(), 1)
+					assert.Equal(t, s.count(), a.at)
 					refused, isRefused := answer.(relay.Refused)
 					assert.Equal(t, isRefused, a.refused)
 					if isRefused {
--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -51,6 +51,12 @@
 	return Revocation{strict: strict, within: within}
 }
 
+// Strict reports whether keys are accepted only for a bounded time without touch.
+func (r Revocation) Strict() bool { return r.strict }
+
+// Within returns the time within which a key that was taken away stops to be accepted.
+func (r Revocation) Within() time.Duration { return r.within }
+
 // NewSettings returns the settings of a VM in a data centre that serves metrics
 // on metricsAddress.
 func NewSettings(vm, dataCentre, metricsAddress string) Settings {
@@ -163,6 +169,9 @@
 // Voters returns the number of voters to which the replicated log grows.
 func (s Settings) Voters() int { return s.voters }
 
+// Revocation returns how soon a key that was taken away stops to be accepted.
+func (s Settings) Revocation() Revocation { return s.revocation }
+
 // isControlVM reports whether the VM stores the replicated log and answers
 // operators.
 func (s Settings) isControlVM() bool { return s.operatorsAddress != "" }
--- a/core/process/replica/cluster_test.go
+++ b/core/process/replica/cluster_test.go
@@ -16,6 +16,8 @@
 	reuseReplicaID      bool
 	forgetOutcomes      bool
 	commitWithoutQuorum bool
+	// proveFromElection takes the start of the leadership for a contact with a quorum.
+	proveFromElection bool
 }
 
 // simulatedVM is one VM of the simulated cluster with its disk and its volatile
@@ -61,6 +63,8 @@
 	leaderByTerm map[uint64]ID
 	// committedEntries maps an index to the entry that was applied there.
 	committedEntries map[uint64]string
+	// committedAt is when the entry at an index was first applied.
+	committedAt map[uint64]time.Time
 	// outcomeByChange maps a change id to its outcome, which must be the same
 	// each time that the change is applied.
 	outcomeByChange map[string]ChangeOutcome
@@ -87,6 +91,7 @@
 		blockedLinks:     make(map[string]bool),
 		leaderByTerm:     make(map[uint64]ID),
 		committedEntries: make(map[uint64]string),
+		committedAt:      make(map[uint64]time.Time),
 		outcomeByChange:  make(map[string]ChangeOutcome),
 		changeByVersion:  make(map[uint64]string),
 	}
@@ -250,6 +255,9 @@
 			c.recordViolation("index %d holds two different entries", e.index)
 		}
 		c.committedEntries[e.index] = content
+		if _, known := c.committedAt[e.index]; !known {
+			c.committedAt[e.index] = c.now
+		}
 		if e.kind == CommandEntry {
 			c.apply(m, e)
 		}
@@ -320,6 +328,7 @@
 				m.node.Tick(c.now)
 				m.node.Flush(c.now)
 				c.processOutput(name)
+				c.checkProof(m)
 			}
 		}
 	}
--- a/core/version/document/document.go
+++ b/core/version/document/document.go
@@ -145,6 +145,9 @@
 	return line, column
 }
 
+// invalidLiteral is the beginning of the parser's message for a value that is no JSON.
+const invalidLiteral = "invalid literal"
+
 // syntaxFault converts an error of the parser into a fault. The line and
 // column are read from the message of the parser, for example "hujson: line 3,
 // column 7: ...", and this prefix is removed from the message of the fault. If
@@ -160,6 +163,10 @@
 		if _, rest, ok := strings.Cut(fault.message, ": "); ok {
 			fault.message = rest
 		}
+		if strings.HasPrefix(fault.message, invalidLiteral) {
+			// The parser adds the literal, which may be a key of a team.
+			fault.message = invalidLiteral
+		}
 		return fault
 	}
 	fault.line, fault.column = lineAndColumn(source, len(source))
--- a/mulberrydale/routes/document_test.go
+++ b/mulberrydale/routes/document_test.go
@@ -47,6 +47,88 @@
 	assert.Equal(t, table.Limits().BodyBytes(), int64(262144))
 }
 
+// withTeams is validDocument with teams and a public route.
+var withTeams = strings.NewReplacer(`"limits": {`, `"teams": [{"name": "kami", "keys": ["secret-1", "secret-2"], "rank": 1, "rate": 48, "burst": 12.5}, {"name": "tuli", "keys": ["secret-3"]}], "limits": {`,
+	`"name": "door",`, `"name": "door", "public": true,`).Replace(validDocument)
+
+func TestDecodeTeams(t *testing.T) {
+	table, err := Decode([]byte(withTeams))
+	assert.NilError(t, err)
+	team, ok := table.TeamOf(routing.DigestKey("secret-2"))
+	assert.Assert(t, ok)
+	assert.Equal(t, team.Name(), "kami")
+	assert.Equal(t, team.Priority(), 1)
+	assert.Equal(t, team.Rate(), 48.0)
+	assert.Equal(t, team.Burst(), 12.5)
+	team, _ = table.TeamOf(routing.DigestKey("secret-3"))
+	assert.Assert(t, !team.HasQuota(), "a team without a rate has a limit")
+	door, _ := table.Match("doors.example", "/x")
+	assert.Assert(t, door.Public())
+	round, _ := table.Match("rounds.example", "/round/1")
+	assert.Assert(t, !round.Public())
+	table, err = Decode([]byte(validDocument))
+	assert.NilError(t, err)
+	assert.Assert(t, !table.HasTeams())
+}
+
+// A fault in the teams must be found, and its message, which is logged, must not show a key.
+func TestDecodeRejectsInvalidTeams(t *testing.T) {
+	tests := []struct {
+		name     string
+		from, to string
+		code     result.Code
+	}{
+		{"a key of two teams", `"secret-3"`, `"secret-1"`, result.DuplicateName},
+		{"a key twice in a team", `"secret-2"`, `"secret-1"`, result.DuplicateName},
+		{"an empty key", `"secret-3"`, `""`, result.LimitOutOfRange},
+		{"two teams with a name", `"tuli"`, `"kami"`, result.DuplicateName},
+		{"a key in place of a list", `["secret-3"]`, `"secret-3"`, result.WrongType},
+		{"a number as a key", `"secret-3"`, `5551234`, result.WrongType},
+		{"a key in place of a team", `{"name": "tuli", "keys": ["secret-3"]}`, `"secret-3"`, result.WrongType},
+		{"a key in place of all teams", `[{"name": "kami", "keys": ["secret-1", "secret-2"], "rank": 1, "rate": 48, "burst": 12.5}, {"name": "tuli", "keys": ["secret-3"]}]`, `"secret-3"`, result.WrongType},
+		{"a key as the rank", `"rank": 1, "rate"`, `"rank": "secret-3", "rate"`, result.WrongType},
+		{"a key as the rate", `"rate": 48`, `"rate": "secret-3"`, result.WrongType},
+		{"a negative rate", `"rate": 48`, `"rate": -1`, result.LimitOutOfRange},
+		{"an unknown key of the document", `"burst"`, `"brust"`, result.UnknownKey},
+		{"no keys", `"keys": ["secret-3"]`, `"rank": 2`, result.MissingKey},
+		{"a broken string", `"secret-3"`, `"secret-3\q"`, result.Syntax},
+		{"an open string", `"secret-3"`, `"secret-3`, result.Syntax},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Decode([]byte(strings.Replace(withTeams, tt.from, tt.to, 1)))
+			assert.Equal(t, result.CodeOf(err), tt.code, "%v", err)
+			for _, secret := range []string{"secret", "5551234"} {
+				assert.Assert(t, !strings.Contains(err.Error(), secret), "%v", err)
+			}
+		})
+	}
+}
+
+func TestDecodeRevocation(t *testing.T) {
+	tests := []struct {
+		name   string
+		added  string
+		strict bool
+		within time.Duration
+	}{
+		{"none", ``, false, 5 * time.Second},
+		{"strict", `"revocation": {"strict": true},`, true, 5 * time.Second},
+		{"strict within a time", `"revocation": {"strict": true, "within-ms": 2000},`, true, 2 * time.Second},
+		{"not strict", `"revocation": {"strict": false},`, false, 5 * time.Second},
+	}
+	for _, tt := range tests {
+		s, err := DecodeSettings([]byte(strings.Replace(validSettings, `"vm"`, tt.added+`"vm"`, 1)))
+		assert.NilError(t, err, tt.name)
+		assert.Equal(t, s.Revocation().Strict(), tt.strict, tt.name)
+		assert.Equal(t, s.Revocation().Within(), tt.within, tt.name)
+	}
+	for _, bad := range []string{`{"strict": 1}`, `{"within-ms": 0}`, `{"within-ms": 999}`, `{"stict": true}`, `true`} {
+		_, err := DecodeSettings([]byte(strings.Replace(validSettings, `"vm"`, `"revocation": `+bad+`, "vm"`, 1)))
+		assert.Assert(t, err != nil, bad)
+	}
+}
+
 func TestDecodeRejectsInvalidDocuments(t *testing.T) {
 	tests := []struct {
 		name     string
