--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
+	"github.com/mulberrydale/mulberrydale/core/process/confirmation"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -69,6 +70,8 @@
 	changes          int
 	// lowest is the lowest version that was adopted, 0 for none.
 	lowest uint64
+	// holder is told which revision is in force, as an entry role does.
+	holder *confirmation.Holder
 }
 
 func (o *recordingObserver) RoutesChanged(routes replica.Routes, _ time.Time) {
@@ -80,6 +83,7 @@
 	}
 	o.routes = routes
 	o.changes++
+	o.holder.PutInForce(routes.Revision(), bytes.HasPrefix(routes.Document(), []byte(documentWithTeams)))
 }
 
 func (o *recordingObserver) TargetsRead(list discovery.List, _ bool, _ time.Time) {
@@ -227,6 +231,7 @@
 		reader = unreachableReader{}
 	}
 	p.cluster = cluster.New(identity, in.seeds, reader, p.observer, zap.NewNop())
+	p.observer.holder = p.cluster.Confirmation()
 	if folder != "" {
 		assert.NilError(in.t, p.cluster.EnableControl(folder, 3, time.Now()))
 	} else {
--- a/core/process/cluster/confirm.go
+++ b/core/process/cluster/confirm.go
@@ -93,12 +93,12 @@
 func (c *Cluster) ownProof(boot bootclock.Time) (confirmation.Proof, bool) {
 	s := c.control.Status()
 	if at, ok := s.RoutesProvenAt(); ok {
-		if p := confirmation.NewProof(s.Routes().Revision(), at); p.Fresh(boot) {
+		if p := confirmation.NewProof(s.Routes().Revision(), at); c.confirming.holder.Fresh(p, boot) {
 			return p, true
 		}
 	}
 	p, _ := c.confirming.holder.Latest()
-	return p, p.Fresh(boot)
+	return p, c.confirming.holder.Fresh(p, boot)
 }
 
 // receiveConfirmRevision answers the question of another VM, at once if this VM has a fresh
--- a/core/process/confirmation/relay.go
+++ b/core/process/confirmation/relay.go
@@ -7,16 +7,25 @@
 )
 
 const (
-	// freshAge is the age of a proof up to which a control VM answers with it at once. It
-	// asks the leader first if the proof is older.
-	freshAge = 600 * time.Millisecond
+	// maxFreshAge and minFreshAge bound the age of a proof up to which a control VM answers
+	// with it at once. It asks the leader first if the proof is older. The leader's own
+	// proof is renewed with each heartbeat, every 100 ms.
+	maxFreshAge = 600 * time.Millisecond
+	minFreshAge = 250 * time.Millisecond
+	// freshFraction is the part of the lifetime of a proof that a control VM may use up.
+	freshFraction = 1.0 / 7
 	// leaderAskInterval is the least time between two questions of a control VM to the
 	// leader, however many entry VMs wait for the answer.
 	leaderAskInterval = 100 * time.Millisecond
 )
 
 // Fresh reports whether a control VM answers with the proof at once.
-func (p Proof) Fresh(now bootclock.Time) bool { return p.exists() && now.Sub(p.since) <= freshAge }
+func (h *Holder) Fresh(p Proof, now bootclock.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	limit := min(max(time.Duration(freshFraction*float64(h.lifetime)), minFreshAge), maxFreshAge)
+	return p.exists() && now.Sub(p.since) <= limit
+}
 
 // Relay holds the questions at a control VM that wait for a fresh proof, at most one for each
 // session. It is not safe for concurrent use.
--- a/core/process/confirmation/sim_test.go
+++ b/core/process/confirmation/sim_test.go
@@ -180,12 +180,12 @@
 
 func (s *sim) proof(v *simVM) (confirmation.Proof, bool) {
 	if v.leads {
-		if p := confirmation.NewProof(v.revision, bootclock.Time(v.contact+v.clockOffset)); p.Fresh(s.boot(v)) {
+		if p := confirmation.NewProof(v.revision, bootclock.Time(v.contact+v.clockOffset)); v.holder.Fresh(p, s.boot(v)) {
 			return p, true
 		}
 	}
 	p, _ := v.holder.Latest()
-	return p, p.Fresh(s.boot(v))
+	return p, v.holder.Fresh(p, s.boot(v))
 }
 
 func (s *sim) entryTick(v *simVM) {
--- a/core/process/dispatch/authenticate.go
+++ b/core/process/dispatch/authenticate.go
@@ -70,14 +70,11 @@
 	return routing.Team{}, false, accessUnconfirmed
 }
 
-// authenticate sets the team of a request. It refuses a request that needs the key of a
-// team and has none, and one whose key can't be checked because this VM does not know
-// whether its table is the newest. The second result reports whether the request is
-// refused. A table without teams refuses nothing.
-func (d *Dispatcher) authenticate(table *routing.Table, route routing.Route, req *relay.Request, now bootclock.Time) (relay.Refused, bool) {
-	if !table.HasTeams() {
-		return relay.Refused{}, false
-	}
+// authenticate sets the team of a request under a table with teams. It refuses a request
+// that needs the key of a team and has none, and one whose key can't be checked because this
+// VM does not know whether its table is the newest. The second result reports whether the
+// request is refused.
+func (d *Dispatcher) authenticate(route routing.Route, req *relay.Request, now bootclock.Time) (relay.Refused, bool) {
 	team, hasTeam, decision := d.checkAccess(route, req, now)
 	if decision != accessGranted {
 		return d.refuseAccess(decision, req, now), true
--- a/core/process/dispatch/authenticate_test.go
+++ b/core/process/dispatch/authenticate_test.go
@@ -266,7 +266,7 @@
 	d := teamDispatcher(s, old, "i-1")
 	route, _ := old.Match("h", "/")
 	d.SetTable(teamTable("other"))
-	refusal, refused := d.authenticate(old, route, teamRequest("k"), bootclock.Now())
+	refusal, refused := d.authenticate(route, teamRequest("k"), bootclock.Now())
 	assert.Assert(t, refused)
 	assert.Equal(t, refusal.Code(), result.UnknownTeam)
 }
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -165,8 +165,10 @@
 		return relay.NewRefused(result.UnknownQuery, "no route matches the host and path"), trace
 	}
 	trace.route = route.Name()
-	if refusal, refused := d.authenticate(table, route, req, bootclock.Now()); refused {
-		return refusal, trace
+	if table.HasTeams() {
+		if refusal, refused := d.authenticate(route, req, bootclock.Now()); refused {
+			return refusal, trace
+		}
 	}
 	if team, ok := req.Team(); ok {
 		trace.team = team.Name()
--- a/core/process/gateway/gateway.go
+++ b/core/process/gateway/gateway.go
@@ -201,6 +201,10 @@
 	if a.RetryAfter() > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter().Seconds(), 'f', 3, 64))
 	}
+	if a.Code() == result.UnknownTeam {
+		// HTTP requires this header with status 401. The scheme is the header to use.
+		w.Header().Set("WWW-Authenticate", g.names.Key())
+	}
 	WriteText(w, httpStatus(a.Code()), strconv.Itoa(int(a.Code()))+" "+a.Code().String()+": "+a.Reason()+"\n")
 }
 
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -123,8 +123,8 @@
 		observer = p.entry
 	}
 	p.cluster = cluster.New(identity, s.seeds, p.adapter.NewListReader(s, p.log), observer, p.log)
+	p.cluster.Confirmation().SetWithin(s.revocation.within)
 	if p.entry != nil {
-		p.cluster.Confirmation().SetWithin(s.revocation.within)
 		p.entry.SetCluster(p.cluster)
 		p.entry.SetStrictRevocation(s.revocation.strict)
 	}
