--- a/core/connection/peer/bench_test.go
+++ b/core/connection/peer/bench_test.go
@@ -21,3 +21,19 @@
 	}
 	b.ReportMetric(float64(4+len(payload)), "bytes/beat")
 }
+
+// BenchmarkConfirmation measures what a control VM does for a question: it decodes the question
+// and encodes the reply.
+func BenchmarkConfirmation(b *testing.B) {
+	question := peer.Encode(peer.NewConfirmRevision(1 << 31))
+	reply := peer.Encode(peer.NewRevisionConfirmed(1<<31, 300, 120*time.Millisecond))
+	for b.Loop() {
+		m, err := peer.Decode(question)
+		if err != nil {
+			b.Fatal(err)
+		}
+		peer.Encode(peer.NewRevisionConfirmed(m.(peer.ConfirmRevision).Number(), 300, 120*time.Millisecond))
+	}
+	b.ReportMetric(float64(4+len(question)), "question-bytes")
+	b.ReportMetric(float64(4+len(reply)), "reply-bytes")
+}
--- a/core/process/confirmation/schedule.go
+++ b/core/process/confirmation/schedule.go
@@ -7,15 +7,16 @@
 )
 
 const (
-	// renewals is the least number of questions within the lifetime of a proof.
-	renewals = 5
 	// baseInterval is the time between two questions of a VM. With a proof that is valid
 	// for 4.25 s, four may remain without an answer.
 	baseInterval = 800 * time.Millisecond
-	// largeInterval is the time between two questions where one control VM serves more
-	// than largeRatio VMs. It keeps their messages under 20 KB/s at each control VM.
+	// largeInterval replaces baseInterval where one control VM serves more than largeRatio
+	// VMs, and hugeInterval where it serves more than hugeRatio. They keep the questions and
+	// replies under 20 KB/s at each control VM up to 1,200 VMs for each of them.
 	largeInterval = 1200 * time.Millisecond
 	largeRatio    = 100
+	hugeInterval  = 1600 * time.Millisecond
+	hugeRatio     = 500
 	// answerTimeout is the time after which a question without a useful answer is put
 	// again, to more control VMs.
 	answerTimeout = 350 * time.Millisecond
@@ -88,17 +89,26 @@
 		return true
 	}
 	passed := now.Sub(s.lastAt) + timerSlack
-	interval := baseInterval
-	if vmsPerControlVM > largeRatio {
-		interval = largeInterval
-	}
-	interval = min(interval, h.lifetime/renewals)
+	interval := h.interval(vmsPerControlVM)
 	if s.missed > 0 && s.missed <= patientAfter {
 		interval = min(interval, answerTimeout)
 	}
 	return passed >= interval
 }
 
+// interval returns the time between two questions that are answered. It is shorter where
+// proofs are valid for less than with the default bound. The caller holds mu.
+func (h *Holder) interval(vmsPerControlVM int) time.Duration {
+	interval := baseInterval
+	switch {
+	case vmsPerControlVM > hugeRatio:
+		interval = hugeInterval
+	case vmsPerControlVM > largeRatio:
+		interval = largeInterval
+	}
+	return time.Duration(float64(interval) * min(1, float64(h.lifetime)/(lifetimeFraction*float64(DefaultWithin))))
+}
+
 // width returns the number of control VMs to ask. The caller holds mu.
 func (h *Holder) width() int {
 	switch {
--- a/core/process/confirmation/sim_test.go
+++ b/core/process/confirmation/sim_test.go
@@ -314,6 +314,8 @@
 		{"calm, 79 VMs", 6, 79, 0, 0, 2 * time.Second},
 		{"calm, 300 VMs", 6, 300, 0, 0, 2 * time.Second},
 		{"calm, 1,280 VMs for four control VMs", 4, 1280, 0, 0, 2 * time.Second},
+		{"calm, 3,200 VMs for three control VMs", 3, 3200, 0, 0, 2600 * time.Millisecond},
+		{"an election, 1,067 VMs for each control VM", 3, 3200, 0, 1200 * time.Millisecond, 3800 * time.Millisecond},
 		{"an election", 6, 79, 0, 1200 * time.Millisecond, 3 * time.Second},
 		{"two control VMs lost, one of them the leader", 6, 79, 2, 1200 * time.Millisecond, 3 * time.Second},
 		{"the same with 300 VMs", 6, 300, 2, 1200 * time.Millisecond, 3 * time.Second},
--- a/core/process/dispatch/bench_test.go
+++ b/core/process/dispatch/bench_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/exchange"
 	"github.com/mulberrydale/mulberrydale/core/connection/upstream"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
@@ -94,3 +95,24 @@
 		}
 	}
 }
+
+// BenchmarkAuthenticate measures what a table with 82 teams adds to a request: the digest of its
+// key, the check on arrival and the check before the first sends.
+func BenchmarkAuthenticate(b *testing.B) {
+	var keys []string
+	for n := range 82 {
+		keys = append(keys, fmt.Sprintf("key-of-team-%d", n))
+	}
+	d := teamDispatcher(&scriptedSender{}, teamTable(keys...), "i-1")
+	d.confirmation.SetWithin(time.Hour)
+	route, _ := d.Table().Match("h", "/")
+	for b.Loop() {
+		req := teamRequest("key-of-team-40")
+		if _, refused := d.authenticate(route, req, bootclock.Now()); refused {
+			b.Fatal("refused")
+		}
+		if _, _, decision := d.checkAccess(route, req, bootclock.Now()); decision != accessGranted {
+			b.Fatal("refused")
+		}
+	}
+}
