--- a/core/process/dispatch/authenticate.go
+++ b/core/process/dispatch/authenticate.go
@@ -153,6 +153,15 @@
 	q.identity = relay.NewIdentity(team.Name())
 }
 
+// refusal returns the answer to a request that was not run: why it may not be sent any more,
+// or else the given refusal with the time after which the caller may retry.
+func (q *query) refusal(refused relay.Refused, now time.Time) relay.Refused {
+	if q.forbidden != nil {
+		return *q.forbidden
+	}
+	return q.dispatcher.withRetryAfter(refused, q.state.Plan(), q.request, now)
+}
+
 // giveUpWaiting removes the queued parts of a request that may not be sent any more.
 func (q *query) giveUpWaiting(now time.Time) {
 	for n, w := range q.waiters {
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -196,10 +196,7 @@
 	now := time.Now()
 	answer := q.state.Answer(now)
 	if refused, isRefused := answer.(relay.Refused); isRefused && refused.Code().Execution() == result.NotRun {
-		answer = d.withRetryAfter(refused, plan, req, now)
-		if q.forbidden != nil {
-			answer = *q.forbidden
-		}
+		answer = q.refusal(refused, now)
 	}
 	return answer, trace
 }
