--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -34,8 +34,29 @@
 	voters            int
 	limits            placement.Limits
 	targetTimes       placement.TargetTimes
+	revocation        Revocation
 }
 
+// Revocation states how soon a key that a configuration takes away stops to be accepted.
+type Revocation struct {
+	strict bool
+	within time.Duration
+}
+
+// NewRevocation returns the bound. If strict is true, no VM accepts a key for longer than
+// within after the acknowledgement of a configuration without it, even if it has lost
+// touch; it refuses requests with keys instead. If strict is false, a VM that has lost
+// touch goes on with the keys that it knows.
+func NewRevocation(strict bool, within time.Duration) Revocation {
+	return Revocation{strict: strict, within: within}
+}
+
+// Strict reports whether keys are accepted only for a bounded time without touch.
+func (r Revocation) Strict() bool { return r.strict }
+
+// Within returns the time within which a key that was taken away stops to be accepted.
+func (r Revocation) Within() time.Duration { return r.within }
+
 // NewSettings returns the settings of a VM in a data centre that serves metrics
 // on metricsAddress.
 func NewSettings(vm, dataCentre, metricsAddress string) Settings {
@@ -94,6 +115,12 @@
 	return s
 }
 
+// WithRevocation sets how soon a key that was taken away stops to be accepted.
+func (s Settings) WithRevocation(r Revocation) Settings {
+	s.revocation = r
+	return s
+}
+
 // WithGracePeriod sets the time between SIGTERM and SIGKILL.
 func (s Settings) WithGracePeriod(d time.Duration) Settings {
 	s.gracePeriod = d
@@ -142,6 +169,9 @@
 // Voters returns the number of voters to which the replicated log grows.
 func (s Settings) Voters() int { return s.voters }
 
+// Revocation returns how soon a key that was taken away stops to be accepted.
+func (s Settings) Revocation() Revocation { return s.revocation }
+
 // isControlVM reports whether the VM stores the replicated log and answers
 // operators.
 func (s Settings) isControlVM() bool { return s.operatorsAddress != "" }
--- a/core/request/relay/request.go
+++ b/core/request/relay/request.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
 // Request is an HTTP request from a caller, with its complete body.
@@ -19,10 +21,15 @@
 	deadline time.Time
 	// networkTime is described at NetworkTime.
 	networkTime time.Duration
-
-	// wireHeader is the result of WireHeader.
-	wireHeaderOnce sync.Once
-	wireHeader     []byte
+	team        routing.Team
+	hasTeam     bool
+	key         Credential
+
+	// wireHeader is the result of WireHeader, plainHeader that of PlainHeader.
+	wireHeaderOnce  sync.Once
+	wireHeader      []byte
+	plainHeaderOnce sync.Once
+	plainHeader     []byte
 }
 
 // NewRequest returns a request that arrived at the given time. The path selects
@@ -48,6 +55,27 @@
 // outside of this VM, or 0 if it is not known.
 func (r *Request) NetworkTime() time.Duration { return r.networkTime }
 
+// WithCredential sets the key with which the caller identifies itself. It changes r and
+// returns it.
+func (r *Request) WithCredential(c Credential) *Request {
+	r.key = c
+	return r
+}
+
+// Credential returns the key with which the caller identifies itself.
+func (r *Request) Credential() Credential { return r.key }
+
+// WithTeam sets the team to which the request belongs. It changes r and returns it.
+func (r *Request) WithTeam(t routing.Team) *Request {
+	r.team = t
+	r.hasTeam = true
+	return r
+}
+
+// Team returns the team to which the request belongs, and false if it belongs to none:
+// the configuration has no teams, or the route is public and the request has no known key.
+func (r *Request) Team() (routing.Team, bool) { return r.team, r.hasTeam }
+
 // ID returns the id that the caller gave to this request, or one generated on
 // arrival.
 func (r *Request) ID() string { return r.id }
@@ -71,6 +99,13 @@
 	return r.wireHeader
 }
 
+// PlainHeader returns the header as it is written to targets that must not get the
+// caller's key. It is encoded once, like WireHeader.
+func (r *Request) PlainHeader(encode func(http.Header) []byte) []byte {
+	r.plainHeaderOnce.Do(func() { r.plainHeader = encode(r.header) })
+	return r.plainHeader
+}
+
 // Body returns the complete body.
 func (r *Request) Body() []byte { return r.body }
 
