settings: memory-mb and max-open-files

Cause: limits on what callers send have to be derived from the resources of the machine. Change: the settings of route, serve and the platform have the memory and the number of open files. Nothing uses them yet.

--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -34,6 +34,8 @@
 	voters            int
 	limits            placement.Limits
 	targetTimes       placement.TargetTimes
+	memoryBytes       int64
+	maxOpenFiles      int
 }
 
 // NewSettings returns the settings of a VM in a data centre that serves metrics
@@ -94,6 +96,14 @@
 	return s
 }
 
+// WithResources sets the memory of the machine in bytes and the number of files that the
+// process may have open, 0 for a value that is not stated.
+func (s Settings) WithResources(memoryBytes int64, maxOpenFiles int) Settings {
+	s.memoryBytes = memoryBytes
+	s.maxOpenFiles = maxOpenFiles
+	return s
+}
+
 // WithGracePeriod sets the time between SIGTERM and SIGKILL.
 func (s Settings) WithGracePeriod(d time.Duration) Settings {
 	s.gracePeriod = d
@@ -139,6 +149,13 @@
 // GracePeriod returns the time between SIGTERM and SIGKILL.
 func (s Settings) GracePeriod() time.Duration { return s.gracePeriod }
 
+// MemoryBytes returns the memory of the machine, 0 if it is not stated.
+func (s Settings) MemoryBytes() int64 { return s.memoryBytes }
+
+// MaxOpenFiles returns the number of files that the process may have open, 0 if it is
+// not stated.
+func (s Settings) MaxOpenFiles() int { return s.maxOpenFiles }
+
 // Voters returns the number of voters to which the replicated log grows.
 func (s Settings) Voters() int { return s.voters }
 
--- a/mulberrydale/settings/settings.go
+++ b/mulberrydale/settings/settings.go
@@ -18,6 +18,9 @@
 const (
 	defaultBalancerLagMillis = 2000
 	maxBalancerLagMillis     = 600_000
+	// maxMemoryMB and maxOpenFiles are the upper bounds of memory-mb and max-open-files.
+	maxMemoryMB  = 1 << 24
+	maxOpenFiles = 1 << 24
 )
 
 // Settings holds the validated content of a settings file.
@@ -34,6 +37,8 @@
 	platformAddress  string
 	balancerLag      time.Duration
 	logLevel         zapcore.Level
+	memoryBytes      int64
+	maxOpenFiles     int
 }
 
 // VM returns the name of this VM.
@@ -77,6 +82,13 @@
 // LogLevel returns the lowest level that is logged.
 func (s Settings) LogLevel() zapcore.Level { return s.logLevel }
 
+// MemoryBytes returns the memory of the machine, 0 if it is not stated.
+func (s Settings) MemoryBytes() int64 { return s.memoryBytes }
+
+// MaxOpenFiles returns the number of files that the process may have open, 0 if it is
+// not stated.
+func (s Settings) MaxOpenFiles() int { return s.maxOpenFiles }
+
 // IsControl reports whether this VM is one of the control VMs.
 func (s Settings) IsControl() bool {
 	return slices.Contains(s.controlVMs, s.vm)
@@ -110,6 +122,8 @@
 		peers:            make(map[string]string),
 		controlVMs:       root.Strings("control-vms"),
 		dataFolder:       root.StringOr("data-folder", ""),
+		memoryBytes:      int64(root.IntOr("memory-mb", 0, maxMemoryMB, 0)) << 20,
+		maxOpenFiles:     root.IntOr("max-open-files", 0, maxOpenFiles, 0),
 		balancerLag:      time.Duration(root.IntOr("balancer-lag-ms", 0, maxBalancerLagMillis, defaultBalancerLagMillis)) * time.Millisecond,
 	}
 	if root.Has("platform-address") {
