intake: limits on what callers send, for route and the platform

Cause: callers made a process run out of memory and descriptors. Change: package intake wraps every listener of host; it charges a budget as bytes arrive, passes on complete heads only, and closes the oldest unfinished connections to make room. Bodies are read into charged buffers; a request is released when its last attempt has ended.

--- /dev/null
+++ b/core/connection/intake/limiter.go
@@ -0,0 +1,214 @@
+package intake
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// addressShare is the share of the connections and of the memory that one address may
+// use. It is large, since a load balancer may be the only address.
+const addressShare = 0.75
+
+// addressUse is what the callers at one address use.
+type addressUse struct {
+	address netip.Addr
+	conns   int
+	bytes   int64
+}
+
+// Counts holds the numbers of events at a listener.
+type Counts struct {
+	// RefusedMemory counts requests and frames that were refused for lack of memory.
+	RefusedMemory int64
+	// RefusedConnections counts connections that were refused.
+	RefusedConnections int64
+	// Evicted counts connections that were closed to make room for others.
+	Evicted int64
+	// HeadOverLimit counts heads with too many bytes or lines.
+	HeadOverLimit int64
+	// TooSlow counts connections whose head or body took too long.
+	TooSlow int64
+}
+
+// Zero reports whether nothing was counted.
+func (c Counts) Zero() bool { return c == Counts{} }
+
+// Limiter limits the connections of one listener and the memory of what they send. No
+// other lock is taken while its lock is held.
+type Limiter struct {
+	maxBytes, maxAddressBytes int64
+	maxConns, maxAddressConns int
+	limits                    atomic.Pointer[Limits]
+
+	mu        sync.Mutex
+	bytes     int64
+	conns     int
+	addresses map[netip.Addr]*addressUse
+	// unfinished holds the connections whose head or body has not arrived, oldest first;
+	// idle holds those between two requests, the one that has been idle for longest first.
+	unfinished, idle connList
+	// evicted holds connections to close when the lock is released.
+	evicted []*Conn
+	counts  Counts
+}
+
+// NewLimiter returns a limiter for a number of connections and bytes.
+func NewLimiter(maxConns int, maxBytes int64) *Limiter {
+	l := &Limiter{
+		maxBytes: maxBytes, maxAddressBytes: int64(addressShare * float64(maxBytes)),
+		maxConns: maxConns, maxAddressConns: max(1, int(addressShare*float64(maxConns))),
+		addresses: make(map[netip.Addr]*addressUse),
+	}
+	l.SetLimits(Limits{})
+	return l
+}
+
+// SetLimits sets the limits on heads that begin from now on.
+func (l *Limiter) SetLimits(limits Limits) { l.limits.Store(&limits) }
+
+// TakeCounts returns what was counted since the last call.
+func (l *Limiter) TakeCounts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := l.counts
+	l.counts = Counts{}
+	return out
+}
+
+// Use returns the connections that are open and the bytes that are charged.
+func (l *Limiter) Use() (conns int, bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns, l.bytes
+}
+
+// unlock releases the lock and closes the connections that were evicted meanwhile.
+func (l *Limiter) unlock() {
+	closing := l.evicted
+	l.evicted = nil
+	l.mu.Unlock()
+	for _, c := range closing {
+		_ = c.Conn.Close()
+	}
+}
+
+// admit takes a new connection, and reports whether there was room for it.
+func (l *Limiter) admit(c *Conn, remote net.Addr, connBytes int64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.unlock()
+	use := l.use(addressOf(remote))
+	c.use = use
+	if !l.makeRoom(use, connBytes, 1, nil) {
+		l.counts.RefusedConnections++
+		l.drop(use)
+		return false
+	}
+	l.conns++
+	use.conns++
+	l.add(use, connBytes)
+	c.bytes = connBytes
+	c.began = now
+	l.unfinished.push(c)
+	return true
+}
+
+// use returns the entry of an address. The caller holds mu.
+func (l *Limiter) use(address netip.Addr) *addressUse {
+	use := l.addresses[address]
+	if use == nil {
+		use = &addressUse{address: address}
+		l.addresses[address] = use
+	}
+	return use
+}
+
+// add charges bytes, or releases them if n is negative. The caller holds mu.
+func (l *Limiter) add(use *addressUse, n int64) {
+	l.bytes += n
+	use.bytes += n
+}
+
+// drop removes the entry of an address that uses nothing. The caller holds mu.
+func (l *Limiter) drop(use *addressUse) {
+	if use.conns == 0 && use.bytes == 0 {
+		delete(l.addresses, use.address)
+	}
+}
+
+// makeRoom evicts connections until an address may use more bytes and connections, and
+// reports whether it may. Unfinished connections are closed first, the oldest before
+// the others; for a new connection, idle ones follow. The connection c itself is never
+// evicted: if it is the oldest one, there is no room for it. The caller holds mu.
+func (l *Limiter) makeRoom(use *addressUse, bytes int64, conns int, c *Conn) bool {
+	for {
+		overAddress := use.bytes+bytes > l.maxAddressBytes || use.conns+conns > l.maxAddressConns
+		if !overAddress && l.bytes+bytes <= l.maxBytes && l.conns+conns <= l.maxConns {
+			return true
+		}
+		of := use
+		if !overAddress {
+			of = nil
+		}
+		victim := l.unfinished.first(of)
+		if victim == nil {
+			victim = l.idle.first(of)
+		}
+		if victim == nil || victim == c {
+			return false
+		}
+		l.counts.Evicted++
+		l.remove(victim)
+		l.evicted = append(l.evicted, victim)
+	}
+}
+
+// remove releases everything that a connection holds. The caller holds mu.
+func (l *Limiter) remove(c *Conn) {
+	if c.removed {
+		return
+	}
+	c.removed = true
+	c.unlink()
+	l.conns--
+	c.use.conns--
+	l.add(c.use, -c.bytes)
+	c.bytes = 0
+	l.drop(c.use)
+}
+
+// charge charges bytes to a connection, and reports whether there was room for them.
+func (l *Limiter) charge(c *Conn, n int64) bool {
+	l.mu.Lock()
+	defer l.unlock()
+	if c.removed {
+		return false
+	}
+	if n > 0 && !l.makeRoom(c.use, n, 0, c) {
+		l.counts.RefusedMemory++
+		return false
+	}
+	l.add(c.use, n)
+	c.bytes += n
+	return true
+}
+
+// addressOf returns the address of a caller. IPv6 addresses of one network of 64 bits
+// count as one, since a caller may use all of them.
+func addressOf(remote net.Addr) netip.Addr {
+	tcp, ok := remote.(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{}
+	}
+	address := tcp.AddrPort().Addr().Unmap()
+	if !address.Is6() {
+		return address
+	}
+	network, err := address.Prefix(64)
+	if err != nil {
+		return address
+	}
+	return network.Addr()
+}
--- a/core/connection/session/session.go
+++ b/core/connection/session/session.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -49,9 +50,11 @@
 
 // Session is one connection to a peer.
 type Session struct {
-	conn      net.Conn
-	address   string
-	queue     chan []byte
+	conn    net.Conn
+	address string
+	queue   chan []byte
+	// frames is told of each frame that was handled, nil if nothing is charged for them.
+	frames    frameCharger
 	closeOnce sync.Once
 	done      chan struct{}
 }
@@ -84,7 +87,14 @@
 }
 
 func newSession(conn net.Conn, address string) *Session {
-	return &Session{conn: conn, address: address, queue: make(chan []byte, queueLength), done: make(chan struct{})}
+	frames, _ := conn.(frameCharger)
+	return &Session{conn: conn, address: address, queue: make(chan []byte, queueLength), frames: frames, done: make(chan struct{})}
+}
+
+// frameCharger is a connection that charges a budget for what arrives.
+type frameCharger interface {
+	// MessageDone releases what was charged for the frames that were handled.
+	MessageDone()
 }
 
 // serve reads frames and passes them to the handler until the connection fails
@@ -103,6 +113,9 @@
 			break
 		}
 		handler.Received(s, payload, time.Now())
+		if s.frames != nil {
+			s.frames.MessageDone()
+		}
 	}
 	s.Close()
 	handler.Closed(s, time.Now())
@@ -112,7 +125,7 @@
 // whose peer has disappeared without closing it. Errors are ignored, because
 // readTimeout still closes the session.
 func setUserTimeout(conn net.Conn) {
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := conn.(syscall.Conn)
 	if !ok {
 		return
 	}
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -131,6 +131,7 @@
 	}
 	s := &subRequest{query: q, part: n, lease: lease, cancel: cancel, attempt: attempt}
 	q.latest[n] = s
+	q.request.Retain()
 	go s.run(ctx)
 }
 
--- a/core/process/dispatch/subrequest.go
+++ b/core/process/dispatch/subrequest.go
@@ -37,6 +37,7 @@
 
 // run sends the attempt and delivers its outcome to the query.
 func (s *subRequest) run(ctx context.Context) {
+	defer s.query.request.Release()
 	now := time.Now()
 	s.sentAfter.Store(max(1, int64(s.query.request.Elapsed(now))))
 	s.lease.Sent(now)
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/exchange"
+	"github.com/mulberrydale/mulberrydale/core/connection/intake"
 	"github.com/mulberrydale/mulberrydale/core/connection/upstream"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
@@ -34,6 +35,8 @@
 	cluster      *cluster.Cluster
 	decodeRoutes RouteDecoder
 	log          *zap.Logger
+	// intake limits what callers send, nil if nothing does.
+	intake *intake.Limiter
 	// isolated is set while data centres are unreachable and
 	// dispatch.Dispatcher.Servable reports false.
 	isolated atomic.Bool
@@ -64,6 +67,10 @@
 	c.SetFindingSource(e.fleet)
 }
 
+// SetLimiter sets the limiter of the callers' listener, which gets the limits that the
+// routes declare. It must be called before the cluster runs.
+func (e *Entry) SetLimiter(l *intake.Limiter) { e.intake = l }
+
 // Handler returns the HTTP handler for the requests of callers.
 func (e *Entry) Handler() http.Handler { return e.gateway }
 
@@ -116,6 +123,9 @@
 		return
 	}
 	e.dispatcher.SetTable(t)
+	if e.intake != nil {
+		e.intake.SetLimits(intake.NewLimits(t.Limits().HeaderBytes(), t.Limits().HeaderTimeout()))
+	}
 }
 
 // TargetsRead replaces the list of targets and closes the idle connections
--- a/core/process/gateway/gateway.go
+++ b/core/process/gateway/gateway.go
@@ -10,9 +10,11 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/exchange"
+	"github.com/mulberrydale/mulberrydale/core/connection/intake"
 	"github.com/mulberrydale/mulberrydale/core/process/dispatch"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -33,6 +35,9 @@
 	// callerWriteTimeout limits how long a write of streamed response data may
 	// block because the caller does not read.
 	callerWriteTimeout = 10 * time.Second
+	// overCapacityRetryAfter is the Retry-After value of a request for whose body there is
+	// no memory.
+	overCapacityRetryAfter = time.Second
 )
 
 // gateway is the HTTP handler for the requests of callers.
@@ -59,9 +64,14 @@
 	w.Header()["Date"] = nil
 	req, refused := g.readRequest(r, arrived)
 	if refused != nil {
+		if refused.Code() == result.OverCapacity {
+			// The rest of the body is not read.
+			w.Header().Set("Connection", "close")
+		}
 		g.writeRefused(w, *refused)
 		return
 	}
+	defer req.Release()
 	answer, trace := g.dispatcher.Answer(r.Context(), req)
 	if relayed, ok := answer.(relay.Relayed); ok {
 		defer relayed.Response().Close()
@@ -76,7 +86,7 @@
 }
 
 // readRequest reads a request with its whole body. It refuses a body that
-// cannot be read or exceeds the limit. A request without an id gets a random
+// cannot be read, exceeds the limit or finds no memory. A request without an id gets a random
 // one. The deadline header, in milliseconds, is ignored if it is not a number
 // greater than 0 and less than maxDeadlineMillis.
 func (g *gateway) readRequest(r *http.Request, arrived time.Time) (*relay.Request, *relay.Refused) {
@@ -84,26 +94,33 @@
 	if t := g.dispatcher.Table(); t != nil && t.Limits().BodyBytes() > 0 {
 		limit = t.Limits().BodyBytes()
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, charge, err := intake.ReadBody(r, limit)
 	if err != nil {
-		refused := relay.NewRefused(result.BadRequest, "the request body ended early")
-		return nil, &refused
-	}
-	if int64(len(body)) > limit {
-		refused := relay.NewRefused(result.DocumentTooLarge, "the request body is larger than the limit")
+		refused := refuseBody(err)
 		return nil, &refused
 	}
 	id := r.Header.Get(g.names.Request())
 	if id == "" {
 		id = uuid.NewString()
 	}
-	req := relay.NewRequest(id, r.Method, r.Host, r.RequestURI, r.URL.EscapedPath(), exchange.EndToEnd(r.Header), body, arrived)
+	req := relay.NewRequest(id, r.Method, r.Host, r.RequestURI, r.URL.EscapedPath(), exchange.EndToEnd(r.Header), body, arrived).WithRelease(charge.Release)
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.names.Deadline()), 64); err == nil && ms > 0 && ms < maxDeadlineMillis {
 		req = req.WithTimeout(time.Duration(ms * float64(time.Millisecond)))
 	}
 	return req, nil
 }
 
+// refuseBody returns the refusal of a request whose body could not be read.
+func refuseBody(err error) relay.Refused {
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		return relay.NewRefused(result.DocumentTooLarge, "the request body is larger than the limit")
+	case errors.Is(err, intake.ErrNoMemory):
+		return relay.NewRefused(result.OverCapacity, "this VM has no memory left for the request body").WithRetryAfter(overCapacityRetryAfter)
+	}
+	return relay.NewRefused(result.BadRequest, "the request body ended early")
+}
+
 // writeAnswer writes an answer. It returns an error if the rest of a streamed
 // response could not be read from the target or written to the caller.
 func (g *gateway) writeAnswer(w http.ResponseWriter, method string, answer relay.Answer) error {
--- a/core/process/gateway/telemetry.go
+++ b/core/process/gateway/telemetry.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/connection/intake"
 	"github.com/mulberrydale/mulberrydale/core/process/dispatch"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
@@ -98,6 +99,21 @@
 	}
 }
 
+// RecordIntake counts and logs what the limiter of a listener has refused or closed, and
+// what the callers of the listener use now.
+func (t *Telemetry) RecordIntake(listener string, counts intake.Counts, conns int, bytes int64) {
+	for name, n := range map[string]int64{
+		"refused-memory": counts.RefusedMemory, "refused-connections": counts.RefusedConnections, "evicted": counts.Evicted,
+		"head-over-limit": counts.HeadOverLimit, "too-slow": counts.TooSlow,
+	} {
+		t.scope.Counter("intake." + listener + "." + name).Inc(n)
+	}
+	t.log.Warn("callers over the limits", zap.String("listener", listener),
+		zap.Int64("refused-memory", counts.RefusedMemory), zap.Int64("refused-connections", counts.RefusedConnections),
+		zap.Int64("evicted", counts.Evicted), zap.Int64("head-over-limit", counts.HeadOverLimit), zap.Int64("too-slow", counts.TooSlow),
+		zap.Int("connections", conns), zap.Int64("bytes", bytes))
+}
+
 // recordAborted counts and logs a response that could not be completed after a
 // part of it had been written. recordAnswer has counted the same request before,
 // under the outcome of its answer.
--- a/core/process/host/operator.go
+++ b/core/process/host/operator.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/connection/intake"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/gateway"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
 const (
@@ -33,6 +36,8 @@
 	cluster *cluster.Cluster
 	decode  gateway.RouteDecoder
 	log     *zap.Logger
+	// decoding is held while a document is decoded, which takes many times its size.
+	decoding sync.Mutex
 }
 
 // NewOperatorAPI returns the operator API of a control VM.
@@ -46,16 +51,13 @@
 // current one changes nothing but is acknowledged, so that an operator may
 // repeat the call.
 func (a *OperatorAPI) Publish(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(io.LimitReader(r.Body, maxDocumentBytes+1))
+	text, charge, err := intake.ReadBody(r, maxDocumentBytes)
 	if err != nil {
-		WriteError(w, http.StatusBadRequest, result.Wrap(err, result.BadRequest, "the request body ended early"))
-		return
-	}
-	if len(text) > maxDocumentBytes {
-		WriteError(w, http.StatusRequestEntityTooLarge, result.New(result.DocumentTooLarge, "the configuration is larger than %d bytes", maxDocumentBytes))
+		a.refuseBody(w, err)
 		return
 	}
-	table, err := a.decode(text)
+	defer charge.Release()
+	table, err := a.decodeAlone(text)
 	if err != nil {
 		a.log.Info("configuration refused", logsink.Cause(err))
 		WriteError(w, http.StatusBadRequest, err)
@@ -64,6 +66,26 @@
 	a.submit(w, r, replica.NewPublishRoutes(table.Version(), text), "configuration "+strconv.FormatUint(table.Version(), 10))
 }
 
+// refuseBody answers a call whose body could not be read.
+func (a *OperatorAPI) refuseBody(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		WriteError(w, http.StatusRequestEntityTooLarge, result.New(result.DocumentTooLarge, "the configuration is larger than %d bytes", maxDocumentBytes))
+	case errors.Is(err, intake.ErrNoMemory):
+		w.Header().Set("Connection", "close")
+		WriteError(w, http.StatusServiceUnavailable, result.Wrap(err, result.OverCapacity, "reading the configuration"))
+	default:
+		WriteError(w, http.StatusBadRequest, result.Wrap(err, result.BadRequest, "the request body ended early"))
+	}
+}
+
+// decodeAlone decodes a document while no other one is decoded.
+func (a *OperatorAPI) decodeAlone(text []byte) (*routing.Table, error) {
+	a.decoding.Lock()
+	defer a.decoding.Unlock()
+	return a.decode(text)
+}
+
 // SetOutOfService takes a data centre out of service or, if out is false, puts
 // it back into service.
 func (a *OperatorAPI) SetOutOfService(w http.ResponseWriter, r *http.Request, centre string, out bool) {
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -21,7 +21,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"github.com/mulberrydale/mulberrydale/core/connection/listener"
+	"github.com/mulberrydale/mulberrydale/core/connection/intake"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/drain"
@@ -31,9 +31,6 @@
 )
 
 const (
-	// headerTimeout limits how long a client may take to send the header of a
-	// request.
-	headerTimeout = 10 * time.Second
 	// callerIdleTimeout is how long an idle connection from a caller is kept
 	// open. It is longer than any idle timeout that the operator declares for
 	// callers, so that no caller reuses a connection that this VM has just
@@ -77,6 +74,8 @@
 	// serveErrors receives the errors of listeners that fail.
 	serveErrors chan error
 	servers     []*http.Server
+	// limiters has the limiter of each listener, by the name of the listener.
+	limiters map[string]*intake.Limiter
 }
 
 // Run runs the process with the settings in the file at path until SIGTERM or
@@ -88,13 +87,14 @@
 	if err != nil {
 		return err
 	}
+	intake.LimitHeap(settings.memoryBytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sink := logsink.New(os.Stdout)
 	go (&sinkLoop{sink: sink}).run(ctx)
 	defer func() { _ = sink.Sync() }()
 	log := newLogger(sink).With(zap.String("vm", settings.vm))
-	p := &process{settings: settings, adapter: adapter, settingsPath: path, settingsText: text, log: log, serveErrors: make(chan error, 8)}
+	p := &process{settings: settings, adapter: adapter, settingsPath: path, settingsText: text, log: log, serveErrors: make(chan error, 8), limiters: settings.newLimiters()}
 	if err := p.start(ctx); err != nil {
 		log.Error("cannot start the process", logsink.Cause(err))
 		return err
@@ -115,28 +115,32 @@
 func (p *process) start(ctx context.Context) error {
 	s := p.settings
 	telemetry := gateway.NewTelemetry(p.log)
+	for name, limiter := range p.limiters {
+		go (&limiterLoop{name: name, limiter: limiter, telemetry: telemetry}).run(ctx)
+	}
 	identity := cluster.NewIdentity(s.vm, s.ownAddress(), s.dataCentre, uuid.NewString()[:8], s.firstStart)
 	var observer cluster.Observer = noopObserver{}
 	if s.callersAddress != "" {
 		p.entry = gateway.NewEntry(s.vm, s.dataCentre, s.limits, p.adapter.HeaderNames(), p.adapter.DecodeRoutes, telemetry, p.log)
 		p.entry.SetTargetTimes(s.targetTimes)
+		p.entry.SetLimiter(p.limiters[callersListener])
 		observer = p.entry
 	}
 	p.cluster = cluster.New(identity, s.seeds, p.adapter.NewListReader(s, p.log), observer, p.log)
 	if p.entry != nil {
 		p.entry.SetCluster(p.cluster)
 	}
-	sessionsListener, err := p.startControl()
+	socket, err := p.startControl()
 	if err != nil {
 		return err
 	}
-	go (&clusterLoop{cluster: p.cluster, listener: sessionsListener}).run(ctx)
+	go (&clusterLoop{cluster: p.cluster, listener: socket}).run(ctx)
 	if err := p.startEntry(ctx); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(metricsPath, telemetry)
-	return p.serveHTTP(s.metricsAddress, mux)
+	return p.serveHTTP(metricsListener, s.metricsAddress, mux)
 }
 
 // startControl opens the replicated log of a control VM, serves operators, and
@@ -150,12 +154,12 @@
 	if err := p.cluster.EnableControl(s.dataFolder, s.voters, time.Now()); err != nil {
 		return nil, err
 	}
-	sessionsListener, err := listener.Open(s.sessionsAddress)
+	socket, err := p.listenForSessions()
 	if err != nil {
 		return nil, err
 	}
 	api := NewOperatorAPI(p.cluster, p.adapter.DecodeRoutes, p.log)
-	return sessionsListener, p.serveHTTP(s.operatorsAddress, p.adapter.OperatorHandler(api))
+	return socket, p.serveHTTP(operatorsListener, s.operatorsAddress, p.adapter.OperatorHandler(api))
 }
 
 // startEntry serves callers and readiness checks if this VM is an entry VM.
@@ -164,10 +168,10 @@
 		return nil
 	}
 	p.entry.Start(ctx)
-	if err := p.serveHTTP(p.settings.callersAddress, p.entry.Handler()); err != nil {
+	if err := p.serveHTTP(callersListener, p.settings.callersAddress, p.entry.Handler()); err != nil {
 		return err
 	}
-	return p.serveHTTP(p.settings.readinessAddress, p.entry.Readiness())
+	return p.serveHTTP(readinessListener, p.settings.readinessAddress, p.entry.Readiness())
 }
 
 // noopObserver is the observer of a VM that does not answer callers.
@@ -179,19 +183,6 @@
 // TargetsRead implements cluster.Observer.
 func (noopObserver) TargetsRead(discovery.List, bool, time.Time) {}
 
-// serveHTTP listens on an address and serves HTTP in the background. An error
-// of the listener is sent to serveErrors.
-func (p *process) serveHTTP(address string, handler http.Handler) error {
-	ln, err := listener.Open(address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
-	p.servers = append(p.servers, server)
-	listener.Start(server, ln, p.serveErrors)
-	return nil
-}
-
 // waitForStop reloads changed settings, at once on SIGHUP, until SIGTERM or
 // SIGINT arrives, and then shuts the process down. It returns an error if a
 // listener fails.
--- a/core/request/relay/request.go
+++ b/core/request/relay/request.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,11 @@
 	// wireHeader is the result of WireHeader.
 	wireHeaderOnce sync.Once
 	wireHeader     []byte
+
+	// holders is the number of those that keep the request, beside the first one. When
+	// the last one has released it, release is called, unless it is nil.
+	holders atomic.Int64
+	release func()
 }
 
 // NewRequest returns a request that arrived at the given time. The path selects
@@ -36,6 +42,23 @@
 	return r
 }
 
+// WithRelease sets a function that is called when nothing keeps the request any more: when
+// Release has been called once more than Retain. It changes r and returns it.
+func (r *Request) WithRelease(release func()) *Request {
+	r.release = release
+	return r
+}
+
+// Retain notes that an attempt keeps the request.
+func (r *Request) Retain() { r.holders.Add(1) }
+
+// Release notes that an attempt, or the one who made the request, no longer keeps it.
+func (r *Request) Release() {
+	if r.holders.Add(-1) < 0 && r.release != nil {
+		r.release()
+	}
+}
+
 // ID returns the id that the caller gave to this request, or one generated on
 // arrival.
 func (r *Request) ID() string { return r.id }
