document, host: bounded cost of a document that an operator sends

Cause: a document of 262,144 bytes in which every value is a fault took 56 GB of allocations and 54 s to check, and was answered with 52 MB. Change: a document records 100 faults at most; what decoding may take is charged to the operators' budget first, and the call is answered with 503 if there is no room.

--- a/core/connection/intake/body.go
+++ b/core/connection/intake/body.go
@@ -49,8 +49,8 @@
 	return charge
 }
 
-// grow charges more bytes and reports whether there was room for them.
-func (c *Charge) grow(n int64) bool {
+// Grow charges more bytes and reports whether there was room for them.
+func (c *Charge) Grow(n int64) bool {
 	if c == nil {
 		return true
 	}
@@ -115,7 +115,7 @@
 		most = length
 	}
 	size := min(most, firstBodyBytes)
-	if !charge.grow(size) {
+	if !charge.Grow(size) {
 		return nil, ErrNoMemory
 	}
 	body := make([]byte, 0, size)
@@ -136,7 +136,7 @@
 			return nil, ErrTooLarge
 		}
 		larger := min(most, bodyGrowth*int64(cap(body)))
-		if !charge.grow(larger) {
+		if !charge.Grow(larger) {
 			return nil, ErrNoMemory
 		}
 		old := int64(cap(body))
--- a/core/process/host/operator.go
+++ b/core/process/host/operator.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +15,6 @@
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
-	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
 const (
@@ -25,6 +23,9 @@
 	operatorTimeout = 850 * time.Millisecond
 	// maxDocumentBytes limits the size of a document of routes.
 	maxDocumentBytes = 32 << 20
+	// decodedValueBytes is the most memory that one value of a document takes while it is
+	// decoded: that of a route without any key.
+	decodedValueBytes = 800
 	// retryAfterSeconds is the Retry-After value of a call that is answered
 	// with 503.
 	retryAfterSeconds = "0.2"
@@ -36,8 +37,6 @@
 	cluster *cluster.Cluster
 	decode  gateway.RouteDecoder
 	log     *zap.Logger
-	// decoding is held while a document is decoded, which takes many times its size.
-	decoding sync.Mutex
 }
 
 // NewOperatorAPI returns the operator API of a control VM.
@@ -57,7 +56,11 @@
 		return
 	}
 	defer charge.Release()
-	table, err := a.decodeAlone(text)
+	if !charge.Grow(decodeBytes(text)) {
+		a.refuseBody(w, intake.ErrNoMemory)
+		return
+	}
+	table, err := a.decode(text)
 	if err != nil {
 		a.log.Info("configuration refused", logsink.Cause(err))
 		WriteError(w, http.StatusBadRequest, err)
@@ -79,11 +82,17 @@
 	}
 }
 
-// decodeAlone decodes a document while no other one is decoded.
-func (a *OperatorAPI) decodeAlone(text []byte) (*routing.Table, error) {
-	a.decoding.Lock()
-	defer a.decoding.Unlock()
-	return a.decode(text)
+// decodeBytes returns an upper bound of the memory that decoding a document takes. A value
+// follows a comma, a colon or a bracket.
+func decodeBytes(document []byte) int64 {
+	values := 0
+	for _, c := range document {
+		switch c {
+		case ',', ':', '[', '{':
+			values++
+		}
+	}
+	return int64(values) * decodedValueBytes
 }
 
 // SetOutOfService takes a data centre out of service or, if out is false, puts
--- a/core/version/document/document.go
+++ b/core/version/document/document.go
@@ -1,10 +1,11 @@
 // Package document parses JSON with comments and trailing commas, and reads
-// typed values from it. It collects all faults of a document, each with a result
-// code, the location and a suggested correction, so that an operator can fix all
-// of them at once.
+// typed values from it. It collects the faults of a document, up to a limit, each with
+// a result code, the location and a suggested correction, so that an operator can fix
+// them at once.
 package document
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
 	"strings"
@@ -23,6 +24,10 @@
 // recurses into each of them, and a stack that has grown too large ends the process.
 const maxDepth = 256
 
+// maxFaults is the maximum number of faults that a document records. Without it, a document
+// of 262,144 bytes in which every value is a fault took 56 GB to check.
+const maxFaults = 100
+
 // Document is a parsed document with the faults found in it so far.
 type Document struct {
 	source []byte
@@ -64,6 +69,9 @@
 // gets the position of the closest enclosing value, or of the start of the
 // document.
 func (d *Document) AddFault(code result.Code, path, message, remedy string) {
+	if len(d.faults) >= maxFaults {
+		return
+	}
 	offset := 0
 	for pointer := path; pointer != ""; pointer = pointer[:strings.LastIndexByte(pointer, '/')] {
 		if value := d.root.Find(pointer); value != nil {
@@ -93,6 +101,9 @@
 // addFaultAt records a fault at a byte offset in the document. The message is
 // formatted from format and args; remedy is used unchanged.
 func (d *Document) addFaultAt(code result.Code, path string, offset int, format, remedy string, args ...any) {
+	if len(d.faults) >= maxFaults {
+		return
+	}
 	line, column := lineAndColumn(d.source, offset)
 	d.faults = append(d.faults, Fault{
 		code:    code,
@@ -108,9 +119,9 @@
 // counted from 1. An offset beyond the end of the source counts as the end.
 func lineAndColumn(source []byte, offset int) (line, column int) {
 	offset = min(offset, len(source))
-	before := string(source[:offset])
-	line = 1 + strings.Count(before, "\n")
-	column = offset - strings.LastIndexByte(before, '\n')
+	before := source[:offset]
+	line = 1 + bytes.Count(before, []byte{'\n'})
+	column = offset - bytes.LastIndexByte(before, '\n')
 	return line, column
 }
 
