serve: limits on what callers, operators and peers send

Cause: the serve command had the same faults as route. Change: its listeners have limiters; frames of peers are charged until they are handled.

--- a/core/connection/intake/body.go
+++ b/core/connection/intake/body.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	if !c.limiter.makeRoom(c.use, n, 0, c.conn) {
-		c.limiter.counts.RefusedMemory++
+		c.limiter.counts.refusedMemory++
 		return false
 	}
 	c.limiter.add(c.use, n)
--- a/core/connection/intake/input.go
+++ b/core/connection/intake/input.go
@@ -117,7 +117,7 @@
 		return false
 	}
 	if !l.makeRoom(c.use, cost, 0, c) {
-		l.counts.RefusedMemory++
+		l.counts.refusedMemory++
 		return false
 	}
 	l.add(c.use, cost)
@@ -184,7 +184,7 @@
 			allowed = bodyTimeout + time.Duration(c.received.Load()/minBodyRate)*time.Second
 		}
 		if now.Sub(c.began) > allowed {
-			l.counts.TooSlow++
+			l.counts.tooSlow++
 			l.remove(c)
 			l.evicted = append(l.evicted, c)
 		}
@@ -196,5 +196,5 @@
 func (l *Limiter) countHeadOverLimit() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.counts.HeadOverLimit++
+	l.counts.headOverLimit++
 }
--- a/core/connection/intake/limiter.go
+++ b/core/connection/intake/limiter.go
@@ -19,23 +19,6 @@
 	bytes   int64
 }
 
-// Counts holds the numbers of events at a listener.
-type Counts struct {
-	// RefusedMemory counts requests and frames that were refused for lack of memory.
-	RefusedMemory int64
-	// RefusedConnections counts connections that were refused.
-	RefusedConnections int64
-	// Evicted counts connections that were closed to make room for others.
-	Evicted int64
-	// HeadOverLimit counts heads with too many bytes or lines.
-	HeadOverLimit int64
-	// TooSlow counts connections whose head or body took too long.
-	TooSlow int64
-}
-
-// Zero reports whether nothing was counted.
-func (c Counts) Zero() bool { return c == Counts{} }
-
 // Limiter limits the connections of one listener and the memory of what they send. No
 // other lock is taken while its lock is held.
 type Limiter struct {
@@ -102,7 +85,7 @@
 	use := l.use(addressOf(remote))
 	c.use = use
 	if !l.makeRoom(use, connBytes, 1, nil) {
-		l.counts.RefusedConnections++
+		l.counts.refusedConnections++
 		l.drop(use)
 		return false
 	}
@@ -159,7 +142,7 @@
 		if victim == nil || victim == c {
 			return false
 		}
-		l.counts.Evicted++
+		l.counts.evicted++
 		l.remove(victim)
 		l.evicted = append(l.evicted, victim)
 	}
@@ -187,7 +170,7 @@
 		return false
 	}
 	if n > 0 && !l.makeRoom(c.use, n, 0, c) {
-		l.counts.RefusedMemory++
+		l.counts.refusedMemory++
 		return false
 	}
 	l.add(c.use, n)
--- a/core/connection/intake/listener.go
+++ b/core/connection/intake/listener.go
@@ -120,7 +120,7 @@
 		return false
 	}
 	if !l.makeRoom(c.use, cost, 0, &c.Conn) {
-		l.counts.RefusedMemory++
+		l.counts.refusedMemory++
 		return false
 	}
 	l.add(c.use, cost)
--- a/core/connection/peer/mesh.go
+++ b/core/connection/peer/mesh.go
@@ -158,6 +158,7 @@
 	if err != nil {
 		return
 	}
+	i.messageDone()
 	hello, ok := first.(Hello)
 	if !ok || hello.cluster != i.mesh.hello.cluster {
 		i.mesh.log.Warn("closing an inbound connection: its first message is not a Hello with the name of this cluster", zap.String("vm", hello.vm))
@@ -169,6 +170,7 @@
 			return
 		}
 		i.mesh.handler.Receive(hello, message, time.Now())
+		i.messageDone()
 	}
 }
 
@@ -183,6 +185,14 @@
 	return Decode(payload)
 }
 
+// messageDone releases what was charged for the messages that were handled, if the
+// connection charges for them.
+func (i *inbound) messageDone() {
+	if c, ok := i.conn.(interface{ MessageDone() }); ok {
+		c.MessageDone()
+	}
+}
+
 func (i *inbound) close() {
 	_ = i.conn.Close()
 	i.mesh.mu.Lock()
--- a/core/process/entry/entry.go
+++ b/core/process/entry/entry.go
@@ -12,9 +12,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/connection/intake"
 	"github.com/mulberrydale/mulberrydale/core/process/membership"
 	"github.com/mulberrydale/mulberrydale/core/process/target"
 	"github.com/mulberrydale/mulberrydale/core/request/hedge"
@@ -51,6 +53,10 @@
 // which of them are warm.
 const readinessDelay = time.Second
 
+// overCapacityRetryAfter is the Retry-After value, in seconds, of a request for which there
+// is no memory.
+const overCapacityRetryAfter = "1"
+
 // New returns an entry role without a configuration. The start id must differ
 // between runs of the process, so that no id of a sub-request is used twice.
 func New(vm, startID string, table *target.Table, claimer Claimer, freshness FreshnessChecker, scope tally.Scope, log *zap.Logger) *Entry {
@@ -131,14 +137,47 @@
 	began := time.Now()
 	e.runningRequests.Add(1)
 	defer e.runningRequests.Add(-1)
-	request, err := query.Decode(r.PathValue("name"), r.Body)
+	request, charge, err := readRequest(r)
 	if err != nil {
+		if result.CodeOf(err) == result.OverCapacity {
+			w.Header().Set("Retry-After", overCapacityRetryAfter)
+			// The rest of the body is not read.
+			w.Header().Set("Connection", "close")
+		}
 		e.writeAnswer(w, query.NewRefusal(request, err), began)
 		return
 	}
+	defer charge.Release()
 	e.writeAnswer(w, answer(r.Context(), request, began), began)
 }
 
+// readRequest reads and decodes the body of a request. The error is OverCapacity if there
+// is no memory for it, otherwise that of query.Decode. The charge is to be released when
+// the request has been answered; it is nil after an error.
+func readRequest(r *http.Request) (query.Request, *intake.Charge, error) {
+	name := r.PathValue("name")
+	body, charge, err := intake.ReadBody(r, query.MaxRequestBytes)
+	switch {
+	case errors.Is(err, intake.ErrNoMemory):
+		return query.Undecoded(name), nil, result.Wrap(err, result.OverCapacity, "reading the request body")
+	case errors.Is(err, intake.ErrTooLarge):
+		return query.Undecoded(name), nil, result.New(result.BadRequest, "the request body is larger than %d bytes", query.MaxRequestBytes)
+	case err != nil:
+		return query.Undecoded(name), nil, result.Wrap(err, result.BadRequest, "reading the request body")
+	}
+	// The parameters of the decoded request are a copy.
+	if !charge.Grow(int64(len(body))) {
+		charge.Release()
+		return query.Undecoded(name), nil, result.New(result.OverCapacity, "there is no memory left for the request")
+	}
+	request, err := query.Decode(name, body)
+	if err != nil {
+		charge.Release()
+		return request, nil, err
+	}
+	return request, charge, nil
+}
+
 // serveReady answers the readiness check, by which the balancer decides whether
 // to send requests to this VM.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/core/process/gateway/telemetry.go
+++ b/core/process/gateway/telemetry.go
@@ -102,16 +102,12 @@
 // RecordIntake counts and logs what the limiter of a listener has refused or closed, and
 // what the callers of the listener use now.
 func (t *Telemetry) RecordIntake(listener string, counts intake.Counts, conns int, bytes int64) {
-	for name, n := range map[string]int64{
-		"refused-memory": counts.RefusedMemory, "refused-connections": counts.RefusedConnections, "evicted": counts.Evicted,
-		"head-over-limit": counts.HeadOverLimit, "too-slow": counts.TooSlow,
-	} {
-		t.scope.Counter("intake." + listener + "." + name).Inc(n)
+	fields := []zap.Field{zap.String("listener", listener), zap.Int("connections", conns), zap.Int64("bytes", bytes)}
+	for _, c := range counts.List() {
+		t.scope.Counter("intake." + listener + "." + c.Name()).Inc(c.Value())
+		fields = append(fields, zap.Int64(c.Name(), c.Value()))
 	}
-	t.log.Warn("callers over the limits", zap.String("listener", listener),
-		zap.Int64("refused-memory", counts.RefusedMemory), zap.Int64("refused-connections", counts.RefusedConnections),
-		zap.Int64("evicted", counts.Evicted), zap.Int64("head-over-limit", counts.HeadOverLimit), zap.Int64("too-slow", counts.TooSlow),
-		zap.Int("connections", conns), zap.Int64("bytes", bytes))
+	t.log.Warn("callers over the limits", fields...)
 }
 
 // recordAborted counts and logs a response that could not be completed after a
--- a/core/request/query/codec.go
+++ b/core/request/query/codec.go
@@ -19,20 +19,19 @@
 	maxIDBytes = 128
 )
 
-// Decode reads the body of a request for the named query. The body is a JSON
+// Undecoded returns the request for the named query whose body could not be read.
+func Undecoded(name string) Request { return Request{name: name} }
+
+// Decode decodes the body of a request for the named query. The body is a JSON
 // object with the optional keys parameters (object), deadline-ms (whole number)
 // and request-id (string). An empty or blank body is equivalent to an empty
 // object. Errors have the code BadRequest, or DeadlineTooShort if the deadline
 // is a number but out of range or not whole. The request that is returned with
 // an error has the name and the values that were decoded before the error,
 // including a request-id of invalid length.
-func Decode(name string, body io.Reader) (Request, error) {
-	data, err := io.ReadAll(io.LimitReader(body, MaxRequestBytes+1))
-	if err != nil {
-		return Request{name: name}, result.Wrap(err, result.BadRequest, "reading the request body")
-	}
+func Decode(name string, data []byte) (Request, error) {
 	if len(data) > MaxRequestBytes {
-		return Request{name: name}, result.New(result.BadRequest, "the request body is larger than %d bytes", MaxRequestBytes)
+		return Undecoded(name), result.New(result.BadRequest, "the request body is larger than %d bytes", MaxRequestBytes)
 	}
 	request := Request{name: name, parameters: []byte("{}")}
 	if len(bytes.TrimSpace(data)) == 0 {
--- a/core/request/query/codec_test.go
+++ b/core/request/query/codec_test.go
@@ -35,7 +35,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			request, err := query.Decode("q", strings.NewReader(tt.body))
+			request, err := query.Decode("q", []byte(tt.body))
 			assert.Equal(t, request.Name(), "q")
 			if tt.want == result.Complete {
 				assert.NilError(t, err)
@@ -47,7 +47,7 @@
 }
 
 func TestDecodeKeepsValues(t *testing.T) {
-	request, err := query.Decode("q", strings.NewReader(`{"parameters": {"a": 1}, "deadline-ms": 20, "request-id": "x"}`))
+	request, err := query.Decode("q", []byte(`{"parameters": {"a": 1}, "deadline-ms": 20, "request-id": "x"}`))
 	assert.NilError(t, err)
 	assert.Equal(t, string(request.Parameters()), `{"a": 1}`)
 	assert.Equal(t, request.Deadline(), 20*time.Millisecond)
@@ -57,7 +57,7 @@
 // FuzzDecode checks that Decode does not panic on any body.
 func FuzzDecode(f *testing.F) {
 	f.Add(`{"parameters": {"a": [1]}, "deadline-ms": 20, "request-id": "x"}`)
-	f.Fuzz(func(_ *testing.T, body string) { _, _ = query.Decode("q", strings.NewReader(body)) })
+	f.Fuzz(func(_ *testing.T, body string) { _, _ = query.Decode("q", []byte(body)) })
 }
 
 func ExampleAnswer_Encode() {
--- a/mulberrydale/operators/operators.go
+++ b/mulberrydale/operators/operators.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/intake"
 	"github.com/mulberrydale/mulberrydale/core/connection/operator"
 	"github.com/mulberrydale/mulberrydale/core/process/audit"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
@@ -77,7 +79,13 @@
 }
 
 func (s *server) change(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, operator.MaxChangeBytes))
+	body, charge, err := intake.ReadBody(r, operator.MaxChangeBytes)
+	if errors.Is(err, intake.ErrNoMemory) {
+		w.Header().Set("Connection", "close")
+		writeError(w, http.StatusServiceUnavailable, result.Wrap(err, result.OverCapacity, "read the body of the change"))
+		return
+	}
+	defer charge.Release()
 	if err != nil {
 		writeError(w, http.StatusBadRequest, result.Wrap(err, result.DocumentTooLarge, "read the body of the change"))
 		return
--- a/mulberrydale/serve.go
+++ b/mulberrydale/serve.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/connection/intake"
 	"github.com/mulberrydale/mulberrydale/core/connection/listener"
 	"github.com/mulberrydale/mulberrydale/core/process/drain"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
@@ -23,8 +24,6 @@
 )
 
 const (
-	// headerTimeout limits how long a client may take to send a request header.
-	headerTimeout = 10 * time.Second
 	// requestReadTimeout limits how long a caller may take to send a whole request,
 	// the header included.
 	requestReadTimeout = 30 * time.Second
@@ -37,6 +36,18 @@
 	operatorShutdownTimeout = 2 * time.Second
 )
 
+// Shares of the listeners in the budget for what is sent to this process, and the names of
+// the listeners in the metrics.
+const (
+	callersShare   = 0.5
+	operatorsShare = 0.25
+	peersShare     = 0.25
+
+	callersListener   = "callers"
+	operatorsListener = "operators"
+	peersListener     = "peers"
+)
+
 // server holds the VM and the HTTP servers for its callers and operators.
 type server struct {
 	settings  settings.Settings
@@ -44,6 +55,7 @@
 	vm        *vm.VM
 	callers   *http.Server
 	operators *http.Server
+	scope     tally.Scope
 }
 
 // runServer runs the server with a settings file until SIGTERM or SIGINT, then shuts
@@ -78,8 +90,9 @@
 		settings:  s,
 		log:       log,
 		vm:        process,
-		callers:   &http.Server{Handler: process.Entry().Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout},
-		operators: &http.Server{Handler: operators.Handler(process, reporter.HTTPHandler()), ReadHeaderTimeout: headerTimeout},
+		scope:     scope,
+		callers:   &http.Server{Handler: process.Entry().Handler(), ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout},
+		operators: &http.Server{Handler: operators.Handler(process, reporter.HTTPHandler())},
 	}
 	return srv.serve()
 }
@@ -111,9 +124,16 @@
 	// The two HTTP servers and the vmLoop send at most one error each, so that with
 	// room for three errors none of them blocks.
 	failures := make(chan error, 3)
-	listener.Start(s.callers, sockets[0], failures)
-	listener.Start(s.operators, sockets[1], failures)
-	go (&vmLoop{vm: s.vm, socket: sockets[2], failures: failures}).run(ctx)
+	intake.LimitHeap(s.settings.MemoryBytes())
+	budget := intake.NewBudget(s.settings.MemoryBytes(), s.settings.MaxOpenFiles())
+	callers := s.startLimiter(ctx, callersListener, budget.NewLimiter(callersShare))
+	callers.Protect(s.callers)
+	listener.Start(s.callers, callers.Listen(sockets[0]), failures)
+	calls := s.startLimiter(ctx, operatorsListener, budget.NewLimiter(operatorsShare))
+	calls.Protect(s.operators)
+	listener.Start(s.operators, calls.Listen(sockets[1]), failures)
+	peers := s.startLimiter(ctx, peersListener, budget.NewLimiter(peersShare))
+	go (&vmLoop{vm: s.vm, socket: peers.ListenFrames(sockets[2]), failures: failures}).run(ctx)
 	s.log.Info("serving", zap.String("callers", s.settings.CallersAddress()), zap.String("operators", s.settings.OperatorsAddress()))
 	select {
 	case err := <-failures:
@@ -124,6 +144,32 @@
 	return nil
 }
 
+// startLimiter starts the checks of a limiter, which count what it refuses, and returns it.
+func (s *server) startLimiter(ctx context.Context, name string, l *intake.Limiter) *intake.Limiter {
+	go (&limiterLoop{limiter: l, scope: s.scope.Tagged(map[string]string{"listener": name}), log: s.log.With(zap.String("listener", name))}).run(ctx)
+	return l
+}
+
+// limiterLoop closes the overdue connections of a listener, and counts and logs what its
+// limiter refuses.
+type limiterLoop struct {
+	limiter *intake.Limiter
+	scope   tally.Scope
+	log     *zap.Logger
+}
+
+func (l *limiterLoop) run(ctx context.Context) { l.limiter.Run(ctx, l.report) }
+
+// report counts and logs what was refused lately.
+func (l *limiterLoop) report(c intake.Counts) {
+	var fields []zap.Field
+	for _, named := range c.List() {
+		l.scope.Counter("intake_" + named.Name()).Inc(named.Value())
+		fields = append(fields, zap.Int64(named.Name(), named.Value()))
+	}
+	l.log.Warn("callers over the limits", fields...)
+}
+
 // shutDown stops the server gracefully. It keeps serving until the load balancer has
 // noticed that readiness fails, and only then calls Shutdown of the callers' server,
 // which closes idle connections at once: a request that is being sent on one of them
