exchange: a long request is written without a copy for each target

Cause: a request with a body of 262,144 bytes to 36 shards was kept 36 times. Change: a header and body of more than 4 KB are written from the one copy of the request.

--- a/core/connection/exchange/encode_test.go
+++ b/core/connection/exchange/encode_test.go
@@ -25,6 +25,7 @@
 	}{
 		{"without a body", http.MethodGet, "req-1", "i-1", nil, ""},
 		{"with a body", http.MethodPost, "req-2", "i-1", []byte("text"), "4"},
+		{"a body that is not copied", http.MethodPost, "req-5", "i-1", make([]byte, maxCopiedBytes+1), "4097"},
 		{"an empty post", http.MethodPost, "req-3", "i-1", nil, "0"},
 		{"line breaks in an id", http.MethodGet, "req\r\nX-Added: 1", "i\n1", nil, ""},
 	}
@@ -35,7 +36,8 @@
 			var first []byte
 			for range 2 {
 				a := relay.NewAttempt(r, discovery.NewInstance(tt.target, "s-1", "10.0.0.1:1", "dc-1", 2), now.Add(250*time.Millisecond), false)
-				text := names.encodeRequest(a, now)
+				head, rest := names.encodeRequest(a, now)
+				text := append(head, bytes.Join(rest, nil)...)
 				if first == nil {
 					first = text
 				}
--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,6 +31,13 @@
 // encodeRequest sets, without the URI. Longer ones are encoded all the same.
 const requestLineBytes = 256
 
+// maxCopiedBytes is the largest header and body together that are copied, so that the
+// request is one buffer.
+const maxCopiedBytes = 4 << 10
+
+// endOfHead is the empty line after the header.
+var endOfHead = []byte("\r\n")
+
 // Sender sends requests to targets over pooled connections.
 type Sender struct {
 	pool  *upstream.Pool
@@ -59,7 +67,7 @@
 	x := &roundTrip{conn: conn, names: s.names, attempt: a}
 	// A deadline in the past makes pending reads and writes fail.
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	if n, err := conn.Write(s.names.encodeRequest(a, time.Now())); err != nil {
+	if n, err := writeRequest(conn, s.names, a); err != nil {
 		x.finish(false)
 		overLimit := resetBeforeFirstRequest(conn, err)
 		err = result.Wrap(err, result.Unreachable, "writing the request to target %s", a.Instance().Address())
@@ -78,15 +86,32 @@
 	return conn.Requests() == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 }
 
+// writeRequest writes the request and returns the number of bytes written.
+func writeRequest(conn *upstream.Conn, names HeaderNames, a relay.Attempt) (int64, error) {
+	head, rest := names.encodeRequest(a, time.Now())
+	if rest == nil {
+		n, err := conn.Write(head)
+		return int64(n), err
+	}
+	buffers := append(net.Buffers{head}, rest...)
+	return buffers.WriteTo(conn.Conn)
+}
+
 // encodeRequest returns the bytes of the request, with the path and the query
-// exactly as the caller sent them. The headers for the request id, the deadline
+// exactly as the caller sent them. A long header and body are not copied, since
+// a request to many shards is in flight to all of them at once; they are the rest. The headers for the request id, the deadline
 // and the target replace headers of the same names from the caller, and
 // Content-Length is set from the body. Requests are written without
 // http.Transport, which could send them a second time.
-func (n HeaderNames) encodeRequest(a relay.Attempt, now time.Time) []byte {
+func (n HeaderNames) encodeRequest(a relay.Attempt, now time.Time) (head []byte, rest [][]byte) {
 	r := a.Request()
 	header := r.WireHeader(n.encodeHeader)
-	out := make([]byte, 0, requestLineBytes+len(r.URI())+len(header)+len(r.Body()))
+	copied := len(header)+len(r.Body()) <= maxCopiedBytes
+	size := requestLineBytes + len(r.URI())
+	if copied {
+		size += len(header) + len(r.Body())
+	}
+	out := make([]byte, 0, size)
 	out = append(out, r.Method()...)
 	out = append(out, ' ')
 	out = append(out, r.URI()...)
@@ -98,9 +123,12 @@
 	if len(r.Body()) > 0 || r.Method() != http.MethodGet && r.Method() != http.MethodHead {
 		out = appendField(out, "Content-Length", strconv.Itoa(len(r.Body())))
 	}
+	if !copied {
+		return out, [][]byte{header, endOfHead, r.Body()}
+	}
 	out = append(out, header...)
-	out = append(out, "\r\n"...)
-	return append(out, r.Body()...)
+	out = append(out, endOfHead...)
+	return append(out, r.Body()...), nil
 }
 
 // encodeHeader returns the fields of a caller's header that targets receive, without
