--- a/core/connection/intake/conn.go
+++ b/core/connection/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -50,7 +51,7 @@
 // Read reads what may be passed on: a complete head with what has arrived of its body, or
 // more of the body. It blocks until a head is complete.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.fault != nil || len(p) == 0 {
+	if c.ready == 0 && c.fault != nil || len(p) == 0 {
 		return 0, c.fault
 	}
 	if c.running && c.framing.phase == inHead && c.ready == 0 {
@@ -68,7 +69,7 @@
 			if c.ready = n; n > 0 {
 				continue
 			}
-			if n, err := c.readMore(); n == 0 {
+			if n, err := c.readMore(); n == 0 && !c.endsInHead(err) {
 				return 0, err
 			}
 			continue
@@ -117,7 +118,7 @@
 // passed on.
 func (c *Conn) advance(text []byte) (int, error) {
 	if c.framing.phase != inHead {
-		return c.advanceBody(text)
+		return c.advanceBody(text), nil
 	}
 	n, err := c.framing.scanHead(text, *c.limiter.limits.Load())
 	if err != nil || n == 0 {
@@ -130,23 +131,33 @@
 	cost := requestBytes + headByteCopies*int64(n) + lineBytes*int64(c.framing.lines)
 	m := 0
 	if c.framing.startBody() {
-		m, err = c.framing.scanBody(text[n:])
+		m = c.scanBody(text[n:])
 		c.received.Store(int64(m))
 	}
-	if err == nil && !c.headDone(cost, c.framing.phase != inHead) {
-		err = errNoMemory
+	if !c.headDone(cost, c.framing.phase != inHead) {
+		return 0, errNoMemory
 	}
-	return n + m, err
+	return n + m, nil
 }
 
 // advanceBody returns how many bytes of text belong to the body.
-func (c *Conn) advanceBody(text []byte) (int, error) {
-	n, err := c.framing.scanBody(text)
+func (c *Conn) advanceBody(text []byte) int {
+	n := c.scanBody(text)
 	c.received.Add(int64(n))
-	if err == nil && c.framing.phase == inHead {
+	if c.framing.phase == inHead {
 		c.bodyDone()
 	}
-	return n, err
+	return n
+}
+
+// scanBody returns how many bytes of text belong to the body. A body with a fault is passed
+// on up to it, so that net/http finds the fault, too.
+func (c *Conn) scanBody(text []byte) int {
+	n, err := c.framing.scanBody(text)
+	if err != nil {
+		c.fault = io.ErrUnexpectedEOF
+	}
+	return n
 }
 
 // Write sends bytes to the caller. It fails if the caller does not take them in time.
--- a/core/connection/intake/input.go
+++ b/core/connection/intake/input.go
@@ -72,14 +72,21 @@
 	return n, err
 }
 
-// reject ends the connection because of a fault, and returns the error of this read and
-// all further ones. It answers a request whose head is not passed on; for another one,
-// the handler gets the error.
-func (c *Conn) reject(fault error) error {
-	c.fault = io.ErrUnexpectedEOF
-	if errors.Is(fault, errMalformed) {
-		return c.fault
+// endsInHead reports whether err is the end of what the caller sends, within a head. What
+// has arrived is then passed on, since net/http answers it.
+func (c *Conn) endsInHead(err error) bool {
+	decoded := headByteCopies*int64(len(c.input)) + lineBytes*int64(c.framing.lines)
+	if err != io.EOF || c.fault != nil || !c.limiter.charge(c, decoded) {
+		return false
 	}
+	c.fault = io.EOF
+	c.ready = len(c.input)
+	return true
+}
+
+// reject answers a request whose head is not passed on because of a fault, and ends the
+// connection. It returns the error of this read and all further ones.
+func (c *Conn) reject(fault error) error {
 	c.fault = io.EOF
 	c.setInput(nil)
 	response := responseNoMemory
--- a/core/connection/intake/limiter.go
+++ b/core/connection/intake/limiter.go
@@ -68,6 +68,9 @@
 	return l.conns, l.bytes
 }
 
+// Bounds returns the connections that may be open and the bytes that may be charged.
+func (l *Limiter) Bounds() (conns int, bytes int64) { return l.maxConns, l.maxBytes }
+
 // unlock releases the lock and closes the connections that were evicted meanwhile.
 func (l *Limiter) unlock() {
 	closing := l.evicted
