--- a/core/connection/intake/budget.go
+++ b/core/connection/intake/budget.go
@@ -7,7 +7,7 @@
 
 const (
 	// DefaultMemoryBytes is assumed if the memory of the machine is not stated.
-	DefaultMemoryBytes = 1 << 30
+	DefaultMemoryBytes = 4 << 30
 	// restBytes is what a process needs without requests: its program, targets, routes and
 	// the buffers of connections that it opened itself.
 	restBytes = 40 << 20
--- a/core/connection/intake/intake.go
+++ b/core/connection/intake/intake.go
@@ -17,7 +17,7 @@
 )
 
 // What the budget is charged, in bytes. The figures are upper bounds of what the heap
-// holds, measured by BenchmarkHeldBytes.
+// holds, checked by TestChargesCoverWhatIsKept.
 const (
 	// httpConnBytes is for a connection of HTTP: two buffers of 4 KB, the stacks of up to
 	// two goroutines and the state of net/http.
