exchange, leaf: a status outside 200 to 599 is no response of the protocol

Cause: 000 and 099 made the handler panic, 600 and 999 were passed on; a field with a space before its colon was taken for an unknown one. Change: such a response is lost and its connection closed, whatever its headers say.

--- a/core/connection/exchange/response.go
+++ b/core/connection/exchange/response.go
@@ -29,6 +29,12 @@
 	MaxBufferedBytes = 256 << 10
 )
 
+// The final statuses of HTTP.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
 // roundTrip is a request that was written to a connection, and its response.
 type roundTrip struct {
 	conn    *upstream.Conn
@@ -67,6 +73,10 @@
 			_ = res.Body.Close()
 			continue
 		}
+		if err := checkResponse(res); err != nil {
+			x.finish(false)
+			return relay.NewLost(err)
+		}
 		x.conn.UnlimitInput()
 		if timeout, ok := keepAliveTimeout(res.Header); ok {
 			x.conn.SetTargetIdleTimeout(timeout)
@@ -75,6 +85,22 @@
 	}
 }
 
+// checkResponse returns an error if a final response is none of the protocol: if its
+// status is outside 200 to 599, or a field has a space in its name, usually before the
+// colon. net/http takes such a field for an unknown one, also if it declares the length of
+// the body.
+func checkResponse(res *http.Response) error {
+	if res.StatusCode < minFinalStatus || res.StatusCode > maxFinalStatus {
+		return result.New(result.FrameMalformed, "status %d is none of HTTP", res.StatusCode)
+	}
+	for name := range res.Header {
+		if strings.IndexByte(name, ' ') >= 0 {
+			return result.New(result.FrameMalformed, "the response has a header field with a space in its name")
+		}
+	}
+	return nil
+}
+
 // readBody buffers the beginning of the body. If the body is longer and may be
 // passed on before it is complete, the outcome streams the rest. An Answered
 // response with a longer body that must not be streamed becomes Lost.
--- a/core/connection/leaf/pool.go
+++ b/core/connection/leaf/pool.go
@@ -26,9 +26,12 @@
 	// retiredTransportLifetime is how long a replaced transport is kept, so that
 	// Sweep can close its connections as they become idle.
 	retiredTransportLifetime = time.Minute
-	probePath                = "/health"
-	runPath                  = "/run/"
-	contentTypeJSON          = "application/json"
+	// minReplaceInterval is the least time between two replacements of the connections to a
+	// leaf whose responses are none of HTTP.
+	minReplaceInterval = time.Second
+	probePath          = "/health"
+	runPath            = "/run/"
+	contentTypeJSON    = "application/json"
 )
 
 // Pool holds the connections of this VM to one leaf. It never opens more
@@ -131,6 +134,11 @@
 	}
 	defer res.Body.Close()
 	outcome := readOutcome(res, request.id)
+	if !finalStatus(res.StatusCode) {
+		// http.Transport would use the connection again.
+		p.ReplaceConnections(time.Now(), minReplaceInterval)
+		return outcome
+	}
 	// The rest of the body is drained so that the connection can be reused.
 	_, _ = io.CopyN(io.Discard, res.Body, maxDrainBytes)
 	return outcome
--- a/core/connection/leaf/wire.go
+++ b/core/connection/leaf/wire.go
@@ -47,6 +47,9 @@
 	return report
 }
 
+// finalStatus reports whether a status is one of those that end a request.
+func finalStatus(status int) bool { return status >= 200 && status <= 599 }
+
 // readOutcome classifies a response. A result is accepted only if the request
 // id is echoed, the status is 200, and the body has the declared length, is not
 // over maxBodyBytes and is one valid JSON value.
@@ -56,6 +59,10 @@
 		// The response belongs to another request.
 		return Unusable{reason: "crossed"}
 	}
+	if !finalStatus(res.StatusCode) {
+		// This is no response of HTTP, whatever its headers say.
+		return Unusable{reason: "status " + strconv.Itoa(res.StatusCode)}
+	}
 	switch res.Header.Get(headerNotRun) {
 	case "":
 	case "snapshot":
--- a/mulberrydale/routes/document_test.go
+++ b/mulberrydale/routes/document_test.go
@@ -76,7 +76,7 @@
 	"seeds": ["127.0.0.1:7001"],
 	"callers-address": "127.0.0.1:8001", "readiness-address": "127.0.0.1:8002",
 	"operators-address": "127.0.0.1:9001", "sessions-address": "127.0.0.1:7001", "data-folder": "/var/lib/mulberrydale",
-	"targets-address": "127.0.0.1:9900", "losses": 2,
+	"targets-address": "127.0.0.1:9900", "losses": 2, "memory-mb": 184, "max-open-files": 4100,
 	"further-sends": {"ratio": 0.2, "slack": 52, "window-ms": 10000},
 }`
 
@@ -89,6 +89,8 @@
 	assert.Equal(t, s.Voters(), 5)
 	assert.Equal(t, s.GracePeriod(), 6*time.Second)
 	assert.Equal(t, s.FirstStart(), true)
+	assert.Equal(t, s.MemoryBytes(), int64(184<<20))
+	assert.Equal(t, s.MaxOpenFiles(), 4100)
 }
 
 func TestDecodeSettingsRejectsInvalidSettings(t *testing.T) {
--- a/mulberrydale/settings/settings_test.go
+++ b/mulberrydale/settings/settings_test.go
@@ -19,6 +19,7 @@
   "peers": [{"vm": "entry-2", "address": "127.0.0.1:9202"}],
   "control-vms": ["entry-1"], // one, three or five
   "data-folder": "/var/lib/mulberrydale",
+  "memory-mb": 184, "max-open-files": 4100,
 }`
 
 func TestDecode(t *testing.T) {
@@ -26,6 +27,8 @@
 	assert.NilError(t, err)
 	assert.Assert(t, s.IsControl())
 	assert.Equal(t, s.BalancerLag(), 2*time.Second)
+	assert.Equal(t, s.MemoryBytes(), int64(184<<20))
+	assert.Equal(t, s.MaxOpenFiles(), 4100)
 	assert.Equal(t, s.Peers()["entry-2"], "127.0.0.1:9202")
 }
 
@@ -44,7 +47,9 @@
 		{"unknown log level", `"vm"`, `"log-level": "loud", "vm"`, result.WrongType},
 		{"balancer lag below 0", `"vm"`, `"balancer-lag-ms": -1, "vm"`, result.LimitOutOfRange},
 		{"truncated", `"/var/lib/mulberrydale",
+  "memory-mb": 184, "max-open-files": 4100,
 }`, `"/var`, result.Syntax},
+		{"no memory", `"memory-mb": 184`, `"memory-mb": -1`, result.LimitOutOfRange},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
