--- a/core/connection/intake/body.go
+++ b/core/connection/intake/body.go
@@ -122,7 +122,7 @@
 	for {
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if err == io.EOF {
+		if err == io.EOF || err == nil && int64(len(body)) == length {
 			return body, nil
 		}
 		if err != nil {
@@ -132,7 +132,6 @@
 			continue
 		}
 		if int64(len(body)) >= most {
-			// net/http reports the end of a declared length with its last byte.
 			return nil, ErrTooLarge
 		}
 		larger := min(most, bodyGrowth*int64(cap(body)))
