--- a/core/connection/intake/framing.go
+++ b/core/connection/intake/framing.go
@@ -35,6 +35,8 @@
 	// the last one. net/http has the same limits.
 	maxChunkLineBytes = 4 << 10
 	maxTrailerBytes   = 4 << 10
+	// maxSizeDigits limits the digits of a chunk size, so that it fits into 63 bits.
+	maxSizeDigits = 15
 )
 
 // framing finds the ends of heads and bodies in what a caller sends.
@@ -151,21 +153,10 @@
 				f.endPart()
 			}
 		default:
-			end := bytes.IndexByte(text[n:], '\n')
-			if end < 0 {
-				f.line = append(f.line, text[n:]...)
-				n = len(text)
-			} else {
-				f.line = append(f.line, text[n:n+end+1]...)
-				n += end + 1
-			}
-			if len(f.line) > maxChunkLineBytes {
-				return n, errMalformed
-			}
-			if end >= 0 {
-				if err := f.readLine(); err != nil {
-					return n, err
-				}
+			taken, err := f.scanLine(text[n:])
+			n += taken
+			if err != nil {
+				return n, err
 			}
 		}
 	}
@@ -181,17 +172,40 @@
 	f.phase = afterChunk
 }
 
+// scanLine takes in text up to the end of the current line of a body in chunks, and returns
+// how many bytes that are.
+func (f *framing) scanLine(text []byte) (int, error) {
+	end := bytes.IndexByte(text, '\n')
+	if end < 0 {
+		f.line = append(f.line, text...)
+		if len(f.line) > maxChunkLineBytes {
+			return len(text), errMalformed
+		}
+		return len(text), nil
+	}
+	line := text[:end+1]
+	if len(f.line) > 0 {
+		f.line = append(f.line, line...)
+		line = f.line
+	}
+	if len(line) > maxChunkLineBytes {
+		return end + 1, errMalformed
+	}
+	err := f.readLine(line)
+	f.line = f.line[:0]
+	return end + 1, err
+}
+
 // readLine takes in a complete line of a body in chunks.
-func (f *framing) readLine() error {
-	line := bytes.TrimSuffix(f.line[:len(f.line)-1], []byte{'\r'})
+func (f *framing) readLine(text []byte) error {
+	line := bytes.TrimSuffix(text[:len(text)-1], []byte{'\r'})
 	switch f.phase {
 	case inChunkSize:
-		size, _, _ := bytes.Cut(line, []byte{';'})
-		n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 63)
-		if err != nil {
+		n, ok := chunkSize(line)
+		if !ok {
 			return errMalformed
 		}
-		f.remaining = int64(n)
+		f.remaining = n
 		f.phase = inChunk
 		if n == 0 {
 			f.phase = inTrailer
@@ -202,15 +216,33 @@
 		}
 		f.phase = inChunkSize
 	case inTrailer:
-		f.trailer += len(f.line)
+		f.trailer += len(text)
 		if f.trailer > maxTrailerBytes {
 			return errMalformed
 		}
 		if len(line) == 0 {
 			f.startHead()
-			return nil
 		}
 	}
-	f.line = f.line[:0]
 	return nil
 }
+
+// chunkSize parses the line before a chunk, which may have an extension after the size.
+func chunkSize(line []byte) (size int64, ok bool) {
+	digits, _, _ := bytes.Cut(line, []byte{';'})
+	digits = bytes.TrimRight(digits, " \t")
+	if len(digits) == 0 || len(digits) > maxSizeDigits {
+		return 0, false
+	}
+	for _, c := range digits {
+		switch lower := c | 0x20; {
+		case c >= '0' && c <= '9':
+			size = size<<4 | int64(c-'0')
+		case lower >= 'a' && lower <= 'f':
+			size = size<<4 | int64(lower-'a'+10)
+		default:
+			return 0, false
+		}
+	}
+	return size, true
+}
