--- a/core/connection/intake/framing_test.go
+++ b/core/connection/intake/framing_test.go
@@ -7,8 +7,32 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 )
 
+// A process that was paused must first read what arrived meanwhile, and not close the
+// connections on which it arrived.
+func TestNothingIsOverdueAfterAPause(t *testing.T) {
+	start := time.Now()
+	d := pauseDetector{checkedAt: start}
+	for _, step := range []struct {
+		at   time.Duration
+		want bool
+	}{
+		{250 * time.Millisecond, true},
+		{900 * time.Millisecond, true},
+		{5 * time.Second, false},
+		{5250 * time.Millisecond, false},
+		{5950 * time.Millisecond, false},
+		{6 * time.Second, true},
+		{6250 * time.Millisecond, true},
+	} {
+		assert.Equal(t, d.ranThrough(start.Add(step.at)), step.want, "%v", step.at)
+	}
+}
+
 // BenchmarkSmallChunks measures a body in chunks of one byte, the most work for each byte
 // that a caller sends, without and with the framing of this package.
 func BenchmarkSmallChunks(b *testing.B) {
--- a/core/connection/intake/limit_test.go
+++ b/core/connection/intake/limit_test.go
@@ -211,7 +211,7 @@
 		waitForUse(t, l, 1, 64<<10)
 	}
 	for range 100 {
-		if _, err = io.WriteString(client, string(buf)); err != nil {
+		if _, err = client.Write(buf); err != nil {
 			break
 		}
 		if _, err = io.ReadFull(accepted, buf); err != nil {
--- a/core/connection/intake/listener.go
+++ b/core/connection/intake/listener.go
@@ -14,6 +14,10 @@
 	refusalTimeout = 20 * time.Millisecond
 	// checkInterval is the time between two checks for overdue connections.
 	checkInterval = 250 * time.Millisecond
+	// maxCheckGap is the time between two checks from which on the process was paused in
+	// between, and pauseGrace the time after a pause in which nothing is overdue.
+	maxCheckGap = time.Second
+	pauseGrace  = time.Second
 	// reportInterval is the time between two reports of what was counted.
 	reportInterval = time.Second
 )
@@ -68,10 +72,14 @@
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	reported := time.Now()
+	pauses := pauseDetector{checkedAt: reported}
 	for {
 		select {
-		case now := <-ticker.C:
-			l.CloseOverdue(now)
+		case <-ticker.C:
+			now := time.Now()
+			if pauses.ranThrough(now) {
+				l.CloseOverdue(now)
+			}
 			if now.Sub(reported) < reportInterval {
 				continue
 			}
@@ -85,6 +93,20 @@
 	}
 }
 
+// pauseDetector tells whether the process has run without a pause for long enough to have
+// read what callers sent during the last one.
+type pauseDetector struct{ checkedAt, resumedAt time.Time }
+
+// ranThrough reports whether the last pause ended at least pauseGrace ago. It is called
+// every checkInterval; a much later call means that the process was paused.
+func (d *pauseDetector) ranThrough(now time.Time) bool {
+	if now.Sub(d.checkedAt) > maxCheckGap {
+		d.resumedAt = now
+	}
+	d.checkedAt = now
+	return d.resumedAt.IsZero() || now.Sub(d.resumedAt) >= pauseGrace
+}
+
 // FrameConn is a connection of frames with limits on what its caller sends.
 type FrameConn struct{ Conn }
 
--- a/mulberrydale/untrusted/installation_test.go
+++ b/mulberrydale/untrusted/installation_test.go
@@ -33,11 +33,11 @@
 
 // installation is a control VM, and the addresses and settings of an entry VM.
 type installation struct {
-	control                                 *server
-	operators, sessions, controlMetrics     string
-	callers, readiness, metrics             string
-	entrySettings                           string
-	ordinaryCall, ordinaryQuery, metricsGet ordinary
+	control                             *server
+	operators, sessions, controlMetrics string
+	callers, readiness, metrics         string
+	entrySettings                       string
+	ordinaryCall, ordinaryQuery         ordinary
 }
 
 // newInstallation starts a control VM with the document of routes, and two targets.
