settings: memory-limit-mb and open-files-limit in the own formats

Cause: make lint keeps the platform's names memory-mb and max-open-files to platform/. Change: route and serve have names of their own; the platform's keys are as before. The tests of untrusted callers use the new names with the same values.

--- a/mulberrydale/routes/document_test.go
+++ b/mulberrydale/routes/document_test.go
@@ -76,7 +76,7 @@
 	"seeds": ["127.0.0.1:7001"],
 	"callers-address": "127.0.0.1:8001", "readiness-address": "127.0.0.1:8002",
 	"operators-address": "127.0.0.1:9001", "sessions-address": "127.0.0.1:7001", "data-folder": "/var/lib/mulberrydale",
-	"targets-address": "127.0.0.1:9900", "losses": 2, "memory-mb": 184, "max-open-files": 4100,
+	"targets-address": "127.0.0.1:9900", "losses": 2, "memory-limit-mb": 184, "open-files-limit": 4100,
 	"further-sends": {"ratio": 0.2, "slack": 52, "window-ms": 10000},
 }`
 
--- a/mulberrydale/routes/settings.go
+++ b/mulberrydale/routes/settings.go
@@ -43,7 +43,7 @@
 			time.Duration(root.IntOr("list-lag-ms", 0, maxMillis, defaultListLagMillis))*time.Millisecond,
 			time.Duration(root.IntOr("target-drain-ms", 0, maxMillis, defaultDrainTimeoutMillis))*time.Millisecond)).
 		WithSeeds(decodeSeeds(doc, root), root.BoolOr("first-start", false)).
-		WithResources(int64(root.IntOr("memory-mb", 0, maxMemoryMB, 0))<<20, root.IntOr("max-open-files", 0, maxOpenFiles, 0)).
+		WithResources(int64(root.IntOr("memory-limit-mb", 0, maxMemoryMB, 0))<<20, root.IntOr("open-files-limit", 0, maxOpenFiles, 0)).
 		WithTargets(root.Address("targets-address"), decodePlacementLimits(root))
 	if root.Has("callers-address") {
 		s = s.WithCallers(root.Address("callers-address"), root.Address("readiness-address"))
--- a/mulberrydale/settings/settings.go
+++ b/mulberrydale/settings/settings.go
@@ -18,7 +18,7 @@
 const (
 	defaultBalancerLagMillis = 2000
 	maxBalancerLagMillis     = 600_000
-	// maxMemoryMB and maxOpenFiles are the upper bounds of memory-mb and max-open-files.
+	// maxMemoryMB and maxOpenFiles are the upper bounds of memory-limit-mb and open-files-limit.
 	maxMemoryMB  = 1 << 24
 	maxOpenFiles = 1 << 24
 )
@@ -122,8 +122,8 @@
 		peers:            make(map[string]string),
 		controlVMs:       root.Strings("control-vms"),
 		dataFolder:       root.StringOr("data-folder", ""),
-		memoryBytes:      int64(root.IntOr("memory-mb", 0, maxMemoryMB, 0)) << 20,
-		maxOpenFiles:     root.IntOr("max-open-files", 0, maxOpenFiles, 0),
+		memoryBytes:      int64(root.IntOr("memory-limit-mb", 0, maxMemoryMB, 0)) << 20,
+		maxOpenFiles:     root.IntOr("open-files-limit", 0, maxOpenFiles, 0),
 		balancerLag:      time.Duration(root.IntOr("balancer-lag-ms", 0, maxBalancerLagMillis, defaultBalancerLagMillis)) * time.Millisecond,
 	}
 	if root.Has("platform-address") {
--- a/mulberrydale/settings/settings_test.go
+++ b/mulberrydale/settings/settings_test.go
@@ -19,7 +19,7 @@
   "peers": [{"vm": "entry-2", "address": "127.0.0.1:9202"}],
   "control-vms": ["entry-1"], // one, three or five
   "data-folder": "/var/lib/mulberrydale",
-  "memory-mb": 184, "max-open-files": 4100,
+  "memory-limit-mb": 184, "open-files-limit": 4100,
 }`
 
 func TestDecode(t *testing.T) {
@@ -47,9 +47,9 @@
 		{"unknown log level", `"vm"`, `"log-level": "loud", "vm"`, result.WrongType},
 		{"balancer lag below 0", `"vm"`, `"balancer-lag-ms": -1, "vm"`, result.LimitOutOfRange},
 		{"truncated", `"/var/lib/mulberrydale",
-  "memory-mb": 184, "max-open-files": 4100,
+  "memory-limit-mb": 184, "open-files-limit": 4100,
 }`, `"/var`, result.Syntax},
-		{"no memory", `"memory-mb": 184`, `"memory-mb": -1`, result.LimitOutOfRange},
+		{"no memory", `"memory-limit-mb": 184`, `"memory-limit-mb": -1`, result.LimitOutOfRange},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/mulberrydale/untrusted/installation_test.go
+++ b/mulberrydale/untrusted/installation_test.go
@@ -56,7 +56,7 @@
 	t.Cleanup(targets.Close)
 	a := freeAddresses(t, 6)
 	i := &installation{sessions: a[0], operators: a[1], controlMetrics: a[2], callers: a[3], readiness: a[4], metrics: a[5]}
-	common := fmt.Sprintf(`"data-centre": "d-1", "seeds": [%q], "first-start": true, "targets-address": %q, "further-sends": {"slack": 10}, "memory-mb": %d, "max-open-files": %d`,
+	common := fmt.Sprintf(`"data-centre": "d-1", "seeds": [%q], "first-start": true, "targets-address": %q, "further-sends": {"slack": 10}, "memory-limit-mb": %d, "open-files-limit": %d`,
 		i.sessions, strings.TrimPrefix(targets.URL, "http://"), memoryMB, maxOpenFiles)
 	i.control = startServer(t, "route", fmt.Sprintf(`{"vm": "control-1", %s, "operators-address": %q, "sessions-address": %q, "data-folder": %q, "losses": 0, "metrics-address": %q}`,
 		common, i.operators, i.sessions, t.TempDir(), i.controlMetrics))
--- a/mulberrydale/untrusted/serve_test.go
+++ b/mulberrydale/untrusted/serve_test.go
@@ -22,7 +22,7 @@
 			a := freeAddresses(t, 3)
 			s := startServer(t, "serve", fmt.Sprintf(`{"vm": "vm-1", "data-centre": "d-1", "cluster": "c", "callers-address": %q,
 				"operators-address": %q, "peers-address": %q, "peers": [], "control-vms": ["vm-1"], "data-folder": %q,
-				"log-level": "error", "memory-mb": %d, "max-open-files": %d}`, a[0], a[1], a[2], t.TempDir(), memoryMB, maxOpenFiles))
+				"log-level": "error", "memory-limit-mb": %d, "open-files-limit": %d}`, a[0], a[1], a[2], t.TempDir(), memoryMB, maxOpenFiles))
 			// No query is declared, so an unknown path shows that callers are answered.
 			request := ordinary{method: http.MethodGet, url: "http://" + a[0] + "/none", status: http.StatusNotFound}
 			request.waitUntilAnswered(t)
