--- a/core/connection/intake/limit_test.go
+++ b/core/connection/intake/limit_test.go
@@ -229,6 +229,24 @@
 	assert.Assert(t, n <= 4)
 }
 
+// A caller that has not said who it is must not send a large frame, even if there is room.
+func TestFirstFrameIsLimited(t *testing.T) {
+	l := intake.NewLimiter(4, 64<<20)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer inner.Close()
+	socket := l.ListenFrames(inner)
+	client := dial(t, inner.Addr().String())
+	accepted, err := socket.Accept()
+	assert.NilError(t, err)
+	buf := make([]byte, 16<<10)
+	for n := 0; err == nil; n++ {
+		assert.Assert(t, n <= 64, "more than 1 MB were read")
+		write(t, client, string(buf))
+		_, err = io.ReadFull(accepted, buf)
+	}
+}
+
 // The memory and the descriptors of the machine decide on the budget, and nothing that is
 // not stated makes it empty.
 func TestBudgetFollowsTheMachine(t *testing.T) {
--- a/core/connection/intake/listener.go
+++ b/core/connection/intake/listener.go
@@ -12,6 +12,9 @@
 	// refusalTimeout limits how long a refused connection may delay the next one. Its
 	// buffers are empty, so that the refusal is sent at once.
 	refusalTimeout = 20 * time.Millisecond
+	// maxFirstFrameBytes limits what arrives on a connection of frames until the first
+	// message is complete, with which its caller says who it is.
+	maxFirstFrameBytes = 1 << 20
 	// checkInterval is the time between two checks for overdue connections.
 	checkInterval = 250 * time.Millisecond
 	// maxCheckGap is the time between two checks from which on the process was paused in
@@ -141,7 +144,8 @@
 	if c.removed {
 		return false
 	}
-	if !l.makeRoom(c.use, cost, 0, &c.Conn) {
+	overFirst := c.silent && c.request+cost > frameByteCopies*maxFirstFrameBytes
+	if overFirst || !l.makeRoom(c.use, cost, 0, &c.Conn) {
 		l.counts.refusedMemory++
 		return false
 	}
