--- a/core/process/gateway/telemetry.go
+++ b/core/process/gateway/telemetry.go
@@ -44,6 +44,7 @@
 	// cleanAnswers counts the requests without an error, a retry or a missing
 	// service, for sampling.
 	cleanAnswers atomic.Int64
+	refusals     refusalLines
 }
 
 // NewTelemetry returns a Telemetry without any counts that writes to a logger.
--- a/core/process/host/operator.go
+++ b/core/process/host/operator.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/connection/intake"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/gateway"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
@@ -22,6 +23,9 @@
 	operatorTimeout = 850 * time.Millisecond
 	// maxDocumentBytes limits the size of a document of routes.
 	maxDocumentBytes = 32 << 20
+	// decodedValueBytes is the most memory that one value of a document takes while it is
+	// decoded: that of a route without any key.
+	decodedValueBytes = 800
 	// retryAfterSeconds is the Retry-After value of a call that is answered
 	// with 503.
 	retryAfterSeconds = "0.2"
@@ -46,13 +50,14 @@
 // current one changes nothing but is acknowledged, so that an operator may
 // repeat the call.
 func (a *OperatorAPI) Publish(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(io.LimitReader(r.Body, maxDocumentBytes+1))
+	text, charge, err := intake.ReadBody(r, maxDocumentBytes)
 	if err != nil {
-		WriteError(w, http.StatusBadRequest, result.Wrap(err, result.BadRequest, "the request body ended early"))
+		a.refuseBody(w, err)
 		return
 	}
-	if len(text) > maxDocumentBytes {
-		WriteError(w, http.StatusRequestEntityTooLarge, result.New(result.DocumentTooLarge, "the configuration is larger than %d bytes", maxDocumentBytes))
+	defer charge.Release()
+	if !charge.Grow(decodeBytes(text)) {
+		a.refuseBody(w, intake.ErrNoMemory)
 		return
 	}
 	table, err := a.decode(text)
@@ -64,6 +69,32 @@
 	a.submit(w, r, replica.NewPublishRoutes(table.Version(), text), "configuration "+strconv.FormatUint(table.Version(), 10))
 }
 
+// refuseBody answers a call whose body could not be read.
+func (a *OperatorAPI) refuseBody(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		WriteError(w, http.StatusRequestEntityTooLarge, result.New(result.DocumentTooLarge, "the configuration is larger than %d bytes", maxDocumentBytes))
+	case errors.Is(err, intake.ErrNoMemory):
+		w.Header().Set("Connection", "close")
+		WriteError(w, http.StatusServiceUnavailable, result.Wrap(err, result.OverCapacity, "reading the configuration"))
+	default:
+		WriteError(w, http.StatusBadRequest, result.Wrap(err, result.BadRequest, "the request body ended early"))
+	}
+}
+
+// decodeBytes returns an upper bound of the memory that decoding a document takes. A value
+// follows a comma, a colon or a bracket.
+func decodeBytes(document []byte) int64 {
+	values := 0
+	for _, c := range document {
+		switch c {
+		case ',', ':', '[', '{':
+			values++
+		}
+	}
+	return int64(values) * decodedValueBytes
+}
+
 // SetOutOfService takes a data centre out of service or, if out is false, puts
 // it back into service.
 func (a *OperatorAPI) SetOutOfService(w http.ResponseWriter, r *http.Request, centre string, out bool) {
--- a/mulberrydale/routes/settings.go
+++ b/mulberrydale/routes/settings.go
@@ -28,6 +28,8 @@
 	// minRevocationMillis is above the time that an election takes, during which no
 	// confirmation is renewed.
 	minRevocationMillis = 1000
+	maxMemoryMB         = 1 << 24
+	maxOpenFiles        = 1 << 24
 )
 
 // DecodeSettings decodes and checks the text of a settings file, JSON with comments
@@ -46,6 +48,7 @@
 			time.Duration(root.IntOr("target-drain-ms", 0, maxMillis, defaultDrainTimeoutMillis))*time.Millisecond)).
 		WithRevocation(decodeRevocation(root)).
 		WithSeeds(decodeSeeds(doc, root), root.BoolOr("first-start", false)).
+		WithResources(int64(root.IntOr("memory-limit-mb", 0, maxMemoryMB, 0))<<20, root.IntOr("open-files-limit", 0, maxOpenFiles, 0)).
 		WithTargets(root.Address("targets-address"), decodePlacementLimits(root))
 	if root.Has("callers-address") {
 		s = s.WithCallers(root.Address("callers-address"), root.Address("readiness-address"))
