rollout: orders, gates and the judgement of a version

The traffic of a service must move to another version of its software with a bounded number of requests to a version that turns out bad. The package holds the pure decisions: the record of a service in the log, the gate on an entry VM and the controller on the leader of the log.

--- /dev/null
+++ b/core/process/rollout/simulation_test.go
@@ -0,0 +1,286 @@
+package rollout_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+	"github.com/mulberrydale/mulberrydale/core/process/rollout"
+)
+
+const (
+	tick         = 10 * time.Millisecond
+	reportTicks  = 15
+	controlTicks = 10
+	// delayTicks is the time that a message takes, and commitTicks that of a command.
+	delayTicks  = 1
+	commitTicks = 5
+	electTicks  = 130
+)
+
+// behaviour returns whether a response of the new version fails and by which factor its
+// response time is longer, for a request on a route at a time since the order, with the
+// requests that the new version has got in the second before.
+type behaviour func(random *rand.Rand, since time.Duration, route, load int) (fails bool, factor float64)
+
+func goodVersion(random *rand.Rand, _ time.Duration, _, _ int) (bool, float64) {
+	return random.Float64() < 0.005, 1
+}
+
+// simulation is a rollout in simulated time: entry VMs with gates, control VMs with
+// controllers and a log that a quorum keeps.
+type simulation struct {
+	random   *rand.Rand
+	vms      []*simulatedVM
+	controls []*rollout.Controller
+	leader   int
+	// electedAt is the tick at which the next leader is elected, while there is none.
+	electedAt int
+	noQuorum  bool
+	record    rollout.Record
+	ticks     int
+	rate      float64
+	uneven    bool
+	version   behaviour
+	// fault is called at each tick.
+	fault  func(s *simulation, at time.Duration)
+	events map[int][]func()
+
+	all, sent, bad int
+	fiftieth       time.Duration
+	lastSent       time.Duration
+	endedAt        time.Duration
+	recent         []int
+	lostAtEnd      int
+	sentUntouched  time.Duration
+	reason         string
+}
+
+type simulatedVM struct {
+	name    string
+	starts  int
+	gate    *rollout.Gate
+	cut     bool
+	inOld   int
+	number  uint64
+	sentAt  map[uint64]bootclock.Time
+	latest  rollout.Confirmation
+	cutAt   time.Duration
+	offset  int
+	present bool
+}
+
+func newSimulation(seed uint64, vms int, rate float64, duration time.Duration, version behaviour) *simulation {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 7)), rate: rate, version: version, events: make(map[int][]func()), ticks: 1}
+	s.record = rollout.NewRecord("s", []string{"v1"}).Started(1, "v2", duration)
+	for range 3 {
+		c := rollout.NewController(rollout.DefaultBounds())
+		c.Observe([]rollout.Record{s.record}, s.now())
+		s.controls = append(s.controls, c)
+	}
+	s.controls[0].SetLeader(true, 1, s.now())
+	for n := range vms {
+		v := &simulatedVM{name: fmt.Sprintf("vm-%d", n), offset: s.random.IntN(reportTicks), present: true}
+		s.start(v)
+		s.vms = append(s.vms, v)
+	}
+	return s
+}
+
+func (s *simulation) now() bootclock.Time {
+	return bootclock.Time(time.Hour).Add(time.Duration(s.ticks) * tick)
+}
+
+// since returns the time since the order.
+func (s *simulation) since() time.Duration { return time.Duration(s.ticks-1) * tick }
+
+// start starts a VM, which takes its rollout from the log.
+func (s *simulation) start(v *simulatedVM) {
+	v.starts++
+	v.gate = rollout.NewGate(s.record, s.random.Float64(), func(route string) time.Duration {
+		return map[string]time.Duration{"0": 11 * time.Millisecond, "1": 31 * time.Millisecond, "2": 51 * time.Millisecond}[route]
+	})
+	v.sentAt = make(map[uint64]bootclock.Time)
+	v.latest = rollout.Confirmation{}
+	v.inOld = 0
+}
+
+func (s *simulation) after(ticks int, f func()) {
+	s.events[s.ticks+ticks] = append(s.events[s.ticks+ticks], f)
+}
+
+// run runs the simulation until a second after the deadline.
+func (s *simulation) run() *simulation {
+	end := s.record.Duration() + time.Second
+	for s.since() < end {
+		for _, f := range s.events[s.ticks] {
+			f()
+		}
+		delete(s.events, s.ticks)
+		if s.fault != nil {
+			s.fault(s, s.since())
+		}
+		s.stepControls()
+		for _, v := range s.vms {
+			if (s.ticks+v.offset)%reportTicks == 0 {
+				s.report(v)
+			}
+		}
+		expected := s.rate * tick.Seconds()
+		for n := int(expected + s.random.Float64()); n > 0; n-- {
+			s.request()
+		}
+		s.ticks++
+	}
+	return s
+}
+
+// loseLeader makes another control VM the leader after an election.
+func (s *simulation) loseLeader() {
+	s.controls[s.leader].SetLeader(false, 0, s.now())
+	s.leader = (s.leader + 1) % len(s.controls)
+	s.electedAt = s.ticks + electTicks
+}
+
+func (s *simulation) stepControls() {
+	if s.ticks%controlTicks != 0 {
+		return
+	}
+	for _, c := range s.controls {
+		c.Observe([]rollout.Record{s.record}, s.now())
+	}
+	if s.ticks < s.electedAt {
+		return
+	}
+	c, term := s.controls[s.leader], uint64(s.electedAt+1)
+	c.SetLeader(true, term, s.now())
+	var present []string
+	for _, v := range s.vms {
+		if v.present {
+			present = append(present, v.name)
+		}
+	}
+	for _, d := range c.Step(present, !s.noQuorum, s.now()) {
+		s.after(commitTicks, func() { s.commit(d) })
+	}
+	if s.noQuorum {
+		return
+	}
+	for _, v := range s.vms {
+		number, grants := c.Grants(v.name, fmt.Sprint(v.starts))
+		starts, answered := v.starts, v.number
+		s.after(delayTicks, func() {
+			if v.starts != starts || v.cut {
+				return
+			}
+			v.latest = rollout.Confirmation{Term: term, Number: number}
+			for _, g := range grants {
+				v.gate.Take(g, v.sentAt[answered].Add(rollout.DefaultBounds().GrantTTL()))
+			}
+		})
+	}
+}
+
+func (s *simulation) commit(d rollout.Decision) {
+	if s.noQuorum || s.record.State() != rollout.Running {
+		return
+	}
+	switch d.Kind() {
+	case rollout.StateElapsed:
+		s.record = s.record.WithElapsed(d.Elapsed())
+	case rollout.Succeed, rollout.RollBack:
+		s.reason = d.Reason()
+		s.record = s.record.Ended(d.Kind() == rollout.Succeed)
+		s.endedAt = s.since()
+		for _, v := range s.vms {
+			if !v.cut && d.Kind() == rollout.Succeed {
+				s.lostAtEnd += v.inOld
+			}
+		}
+	}
+}
+
+func (s *simulation) report(v *simulatedVM) {
+	if v.cut || s.record.State() != rollout.Running {
+		return
+	}
+	v.number++
+	v.sentAt[v.number] = s.now()
+	r, id, confirmation, number := v.gate.Report(v.inOld, 0, true, s.now()), fmt.Sprint(v.starts), v.latest, v.number
+	s.after(delayTicks, func() {
+		for _, c := range s.controls {
+			c.TakeReport(v.name, id, r, confirmation, s.now())
+		}
+		v.number = max(v.number, number)
+	})
+}
+
+func (s *simulation) pick() *simulatedVM {
+	if s.uneven {
+		return s.vms[int(math.Pow(s.random.Float64(), 3)*float64(len(s.vms)))]
+	}
+	return s.vms[s.random.IntN(len(s.vms))]
+}
+
+// request is one request for the service.
+func (s *simulation) request() {
+	v, route := s.pick(), 0
+	switch n := s.random.Float64(); {
+	case n < 0.1:
+		route = 2
+	case n < 0.4:
+		route = 1
+	}
+	running := s.record.State() == rollout.Running
+	updated := s.record.State() == rollout.Succeeded
+	if running {
+		updated = v.gate.NextMayBeNew(s.now())
+		v.gate.CountRequest(updated)
+	}
+	took := time.Duration((8 + 20*float64(route) + 4*s.random.ExpFloat64()) * float64(time.Millisecond))
+	fails := s.random.Float64() < 0.005
+	if s.since() <= s.record.Duration() {
+		s.all++
+	}
+	if updated {
+		if v.cut && s.since()-v.cutAt > s.sentUntouched {
+			s.sentUntouched = s.since() - v.cutAt
+		}
+		s.recent = append(s.recent, s.ticks)
+		for len(s.recent) > 0 && s.recent[0] < s.ticks-100 {
+			s.recent = s.recent[1:]
+		}
+		var factor float64
+		fails, factor = s.version(s.random, s.since(), route, len(s.recent))
+		took = time.Duration(float64(took) * factor)
+		if s.since() <= s.record.Duration() {
+			s.sent++
+		}
+		s.lastSent = s.since()
+	}
+	gate, starts := v.gate, v.starts
+	if !updated {
+		v.inOld++
+	}
+	s.after(int(took/tick)+1, func() {
+		if v.starts != starts {
+			return
+		}
+		if !updated {
+			v.inOld--
+		}
+		if fails {
+			gate.CountFailure(fmt.Sprint(route), updated)
+		} else {
+			gate.CountResponse(fmt.Sprint(route), updated, took)
+		}
+		if updated && (fails || took > 40*time.Millisecond) {
+			s.bad++
+			if s.bad == 50 {
+				s.fiftieth = s.since()
+			}
+		}
+	})
+}
