--- a/core/connection/frame/codec.go
+++ b/core/connection/frame/codec.go
@@ -94,6 +94,10 @@
 	return d.err
 }
 
+// More reports whether values remain. A later version of a message may have values at the
+// end that an earlier one lacks.
+func (d *Decoder) More() bool { return d.err == nil && d.reader.Len() > 0 }
+
 // Fail records that a decoded value is invalid, unless an error was recorded
 // before.
 func (d *Decoder) Fail(reason string) {
--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -20,6 +20,8 @@
 	wireTargetList
 	wireLateResponses
 	wireUnchanged
+	wireRolloutReports
+	wireRolloutGrants
 )
 
 // Encode encodes a message as the payload of a frame.
@@ -71,6 +73,12 @@
 	case Unchanged:
 		enc.Uint(wireUnchanged)
 		encodeUnchanged(enc, m)
+	case RolloutReports:
+		enc.Uint(wireRolloutReports)
+		encodeRolloutReports(enc, m)
+	case RolloutGrants:
+		enc.Uint(wireRolloutGrants)
+		encodeRolloutGrants(enc, m)
 	}
 	return enc.Payload()
 }
@@ -107,6 +115,10 @@
 		out = decodeLateResponses(dec)
 	case wireUnchanged:
 		out = decodeUnchanged(dec)
+	case wireRolloutReports:
+		out = decodeRolloutReports(dec)
+	case wireRolloutGrants:
+		out = decodeRolloutGrants(dec)
 	default:
 		dec.Fail("unknown message kind")
 	}
--- a/core/connection/peer/presencecodec.go
+++ b/core/connection/peer/presencecodec.go
@@ -88,6 +88,7 @@
 		enc.Duration(i.ColdFor())
 	}
 	enc.Strings(t.difference.Removed())
+	encodeVersions(enc, t.difference.Changed())
 }
 
 func decodeTargetList(dec *frame.Decoder) TargetList {
@@ -97,6 +98,8 @@
 		i := discovery.NewInstance(dec.String(), dec.String(), dec.String(), dec.String(), int(dec.Int()))
 		changed = append(changed, i.WithLeaving(dec.Bool()).WithColdFor(dec.Duration()))
 	}
-	t.difference = discovery.NewDifference(changed, dec.Strings())
+	removed := dec.Strings()
+	decodeVersions(dec, changed)
+	t.difference = discovery.NewDifference(changed, removed)
 	return t
 }
--- a/core/process/discovery/discovery.go
+++ b/core/process/discovery/discovery.go
@@ -20,6 +20,7 @@
 	slots      int
 	leaving    bool
 	coldFor    time.Duration
+	version    string
 }
 
 // ValidAddress reports whether the address has the form IP:port, with a port that a
@@ -50,6 +51,15 @@
 	return i
 }
 
+// WithVersion returns a copy of the instance that runs a version of the service's software.
+func (i Instance) WithVersion(version string) Instance {
+	i.version = version
+	return i
+}
+
+// Version returns the version of the service's software, empty if the list has none.
+func (i Instance) Version() string { return i.version }
+
 // ID returns the id of the instance, which changes when the target restarts.
 func (i Instance) ID() string { return i.id }
 
--- a/core/process/replica/command.go
+++ b/core/process/replica/command.go
@@ -8,8 +8,8 @@
 )
 
 // Command is a state machine command that the log replicates:
-// ReplaceConfiguration, SetDataCentre, Claim, Settle, PublishRoutes or
-// SetOutOfService.
+// ReplaceConfiguration, SetDataCentre, Claim, Settle, PublishRoutes,
+// SetOutOfService, RecordVersions, StartRollout, EndRollout or StateElapsed.
 type Command interface{ command() }
 
 // ChangeMetadata describes a configuration change: its id, author, reason and
@@ -92,7 +92,7 @@
 
 // WithAppendTime returns the command with the time at which the leader appends
 // it. Every replica uses this time instead of its own clock, so that the
-// command has the same effect everywhere. A Settle carries no time.
+// command has the same effect everywhere. A Settle and a StateElapsed carry no time.
 func WithAppendTime(c Command, at time.Time) Command {
 	switch c := c.(type) {
 	case ReplaceConfiguration:
@@ -110,12 +110,21 @@
 	case SetOutOfService:
 		c.appendedAt = at
 		return c
+	case RecordVersions:
+		c.appendedAt = at
+		return c
+	case StartRollout:
+		c.appendedAt = at
+		return c
+	case EndRollout:
+		c.appendedAt = at
+		return c
 	}
 	return c
 }
 
-// Outcome is the result of a command: ChangeOutcome, ClaimOutcome or
-// RoutesOutcome.
+// Outcome is the result of a command: ChangeOutcome, ClaimOutcome, RoutesOutcome or
+// RolloutOutcome.
 type Outcome interface{ outcome() }
 
 // ChangeOutcome is the result of a configuration change.
--- a/core/process/replica/routes.go
+++ b/core/process/replica/routes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/process/audit"
+	"github.com/mulberrydale/mulberrydale/core/process/rollout"
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
 
@@ -40,13 +41,17 @@
 	return SetOutOfService{dataCentre: dataCentre, outOfService: outOfService}
 }
 
-// Routes is the accepted version of the routes and the data centres that are out
-// of service. Each change of either increments the revision.
+// Routes is the accepted version of the routes, the data centres that are out of
+// service, and the versions in use and rollouts of services. Each change of these
+// increments the revision.
 type Routes struct {
 	revision     uint64
 	version      uint64
 	document     []byte
 	outOfService []string
+	// rollouts has the versions in use and the latest rollout of each service, sorted by
+	// service.
+	rollouts []rollout.Record
 }
 
 // NewRoutes returns routes that were received from another process.
--- a/core/process/replica/state.go
+++ b/core/process/replica/state.go
@@ -77,6 +77,14 @@
 		return s.publishRoutes(c)
 	case SetOutOfService:
 		return s.setOutOfService(c)
+	case RecordVersions:
+		return s.recordVersions(c)
+	case StartRollout:
+		return s.startRollout(c)
+	case EndRollout:
+		return s.endRollout(c)
+	case StateElapsed:
+		return s.stateElapsed(c)
 	case Settle:
 		s.claims.Settle(c.id, c.holder, c.code, c.body)
 	}
--- a/core/process/replica/statecodec.go
+++ b/core/process/replica/statecodec.go
@@ -24,6 +24,11 @@
 	wirePublishRoutes
 	wireSetOutOfService
 	wireRoutesOutcome
+	wireRecordVersions
+	wireStartRollout
+	wireEndRollout
+	wireStateElapsed
+	wireRolloutOutcome
 )
 
 // EncodeCommand encodes a command for the log.
@@ -61,6 +66,8 @@
 		enc.String(c.dataCentre)
 		enc.Bool(c.outOfService)
 		enc.Time(c.appendedAt)
+	case RecordVersions, StartRollout, EndRollout, StateElapsed:
+		encodeRolloutCommand(enc, c)
 	}
 	return enc.Payload()
 }
@@ -83,6 +90,14 @@
 		command = PublishRoutes{version: dec.Uint(), document: dec.Bytes(), appendedAt: dec.Time()}
 	case wireSetOutOfService:
 		command = SetOutOfService{dataCentre: dec.String(), outOfService: dec.Bool(), appendedAt: dec.Time()}
+	case wireRecordVersions:
+		command = decodeRecordVersions(dec)
+	case wireStartRollout:
+		command = decodeStartRollout(dec)
+	case wireEndRollout:
+		command = decodeEndRollout(dec)
+	case wireStateElapsed:
+		command = decodeStateElapsed(dec)
 	default:
 		dec.Fail("unknown command type")
 	}
@@ -127,6 +142,10 @@
 		enc.Uint(wireRoutesOutcome)
 		enc.Uint(o.revision)
 		enc.Uint(o.version)
+	case RolloutOutcome:
+		enc.Uint(wireRolloutOutcome)
+		enc.Int(int64(o.code))
+		enc.Uint(o.revision)
 	}
 	return enc.Payload()
 }
@@ -151,6 +170,8 @@
 		outcome = ClaimOutcome{}
 	case wireRoutesOutcome:
 		outcome = RoutesOutcome{revision: dec.Uint(), version: dec.Uint()}
+	case wireRolloutOutcome:
+		outcome = decodeRolloutOutcome(dec)
 	default:
 		dec.Fail("unknown outcome type")
 	}
@@ -265,10 +286,11 @@
 	enc.Uint(r.version)
 	enc.Bytes(r.document)
 	enc.Strings(r.outOfService)
+	encodeRollouts(enc, r.rollouts)
 }
 
-// DecodeRoutes decodes accepted routes. On invalid input dec.Err returns the
-// error.
+// DecodeRoutes decodes accepted routes, which must be the last value. On invalid input
+// dec.Err returns the error.
 func DecodeRoutes(dec *frame.Decoder) Routes {
-	return Routes{revision: dec.Uint(), version: dec.Uint(), document: dec.Bytes(), outOfService: dec.Strings()}
+	return Routes{revision: dec.Uint(), version: dec.Uint(), document: dec.Bytes(), outOfService: dec.Strings(), rollouts: decodeRollouts(dec)}
 }
