placement: the version of a target is chosen once per request

While a rollout runs, a first attempt goes to the new version only within the grant of the leader; retries and hedges go to the old versions. Targets whose version was never ordered get nothing if versions are enforced or an order exists.

--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -104,17 +104,17 @@
 	return time.Duration(float64(estimate) * (1 + expectedTimeJitter*rand.Float64()))
 }
 
-// choose returns the target for a request of a kind, or nil if all targets are
-// excluded or in tried. Targets in tried, which this request was already sent
-// to, are skipped. The caller holds f.mu.
-func (f *Fleet) choose(g *group, kind string, tried []*Target, now time.Time) *Target {
+// chooseOf returns the target for a request of a kind among those of one side, or nil if
+// all of them are excluded or in tried. Targets in tried, which this request was already
+// sent to, are skipped. The caller holds f.mu.
+func (f *Fleet) chooseOf(g *group, wanted side, kind string, tried []*Target, now time.Time) *Target {
 	median := g.latency(kind).median
 	preferred := f.preferredRemote(g)
 	var best *Target
 	bestClass := excluded
 	var bestTime time.Duration
 	for _, t := range g.targets {
-		if contains(tried, t) {
+		if g.sideOf(t) != wanted || contains(tried, t) {
 			continue
 		}
 		class := f.classify(t, now)
--- a/core/process/placement/connections.go
+++ b/core/process/placement/connections.go
@@ -65,7 +65,8 @@
 // preferredRemote returns the remote target that this VM prefers if the service
 // has no usable target in the VM's own data centre. It returns nil if the
 // service has one there, or no usable target at all. Targets that are leaving,
-// or whose data centre is out of service or unreachable, are not usable.
+// whose version gets nothing, or whose data centre is out of service or unreachable, are
+// not usable.
 //
 // Each VM without a local target keeps a connection to one remote target, and
 // measures its response times, instead of connecting to all of them: with 76
@@ -75,7 +76,7 @@
 	var best *Target
 	for _, t := range g.targets {
 		switch {
-		case t.departure.known() || f.outOfService[t.instance.DataCentre()] || f.unreachable(t.instance.DataCentre()):
+		case g.sideOf(t) == noSide || t.departure.known() || f.outOfService[t.instance.DataCentre()] || f.unreachable(t.instance.DataCentre()):
 		case t.instance.DataCentre() == f.ownCentre:
 			return nil
 		case best == nil || t.rank > best.rank:
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
@@ -73,6 +74,11 @@
 	entryVMsSetAt time.Time
 	// late holds the late responses since LateResponses was last called.
 	late []lateResponse
+	// enforceVersions is set if only recorded versions are used, also of services
+	// without a rollout.
+	enforceVersions bool
+	// bootNow returns the present time for grants of rollouts.
+	bootNow func() bootclock.Time
 }
 
 // group holds the targets of one service, with its retry budget, response times
@@ -87,6 +93,7 @@
 	budget    retryBudget
 	latencies map[string]*latency
 	queue     queue
+	versions  versions
 }
 
 // NewFleet returns a fleet without targets for a process that starts now, on
@@ -105,6 +112,7 @@
 		outOfService: make(map[string]bool),
 		reachability: make(map[string]*centreReachability),
 		entryVMs:     1,
+		bootNow:      bootclock.Now,
 	}
 }
 
@@ -208,7 +216,7 @@
 }
 
 // SetTargets replaces the list of targets. It returns the addresses of targets
-// that are no longer listed with their id, service and address, unless a listed
+// that are no longer listed with their id, service, address and version, unless a listed
 // target uses the address.
 func (f *Fleet) SetTargets(list discovery.List, now time.Time) []string {
 	f.mu.Lock()
@@ -241,12 +249,12 @@
 	return unusedAddresses
 }
 
-// upsert adds a target or updates it. If its service or address has changed, it
+// upsert adds a target or updates it. If its service, address or version has changed, it
 // is replaced by a new target without history, and the old one is returned. readAt is
 // when the list was read. The caller holds f.mu.
 func (f *Fleet) upsert(i discovery.Instance, readAt, now time.Time) (replaced *Target) {
 	t := f.byID[i.ID()]
-	if t != nil && t.instance.Service() == i.Service() && t.instance.Address() == i.Address() {
+	if t != nil && t.instance.Service() == i.Service() && t.instance.Address() == i.Address() && t.instance.Version() == i.Version() {
 		t.update(i, readAt, f.listReadAt, now)
 		return nil
 	}
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/rollout"
 )
 
 // Lease is the permission to send one request to a target. The request counts
@@ -29,6 +30,10 @@
 	// streamingSince is when a streamed response began. It is zero if no
 	// response has begun yet or if the response was received whole.
 	streamingSince time.Time
+	// gate counts the outcome for a rollout, and updated is true if the target runs its
+	// target version. gate is nil if no rollout ran when the lease was granted.
+	gate    *rollout.Gate
+	updated bool
 }
 
 // StreamingStarted records that a streamed response has begun. The time that
@@ -111,10 +116,13 @@
 	if t == nil || r.charged && !f.takeExtra(g, now) {
 		return nil, false
 	}
-	if !r.charged && len(r.tried) == 0 {
+	first := !r.charged && len(r.tried) == 0
+	if first {
 		g.budget.countFirst(now)
 	}
-	return f.grant(g, t, r.kind, r.charged, now), true
+	l := f.grant(g, t, r.kind, r.charged, now)
+	g.countSend(l, first)
+	return l, true
 }
 
 // takeExtra counts an extra attempt and returns true if the retry budget of the service
@@ -219,6 +227,7 @@
 	}
 	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends = 0
 	l.target.group.addResponseTime(l.kind, responseTime)
+	l.countResponse(responseTime)
 	l.release(now)
 }
 
@@ -228,6 +237,7 @@
 	defer l.fleet.mu.Unlock()
 	l.target.lastObservedAt = now
 	l.target.recordError()
+	l.countFailure()
 	l.release(now)
 }
 
@@ -240,6 +250,8 @@
 	l.target.recordError()
 	if gone {
 		l.recordDeparture(true, now)
+	} else {
+		l.countFailure()
 	}
 	l.release(now)
 }
@@ -250,6 +262,7 @@
 	defer l.fleet.mu.Unlock()
 	l.target.lastObservedAt = now
 	l.target.recordNoResponse(now)
+	l.countFailure()
 	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends++
 	l.release(now)
 }
@@ -272,6 +285,7 @@
 	defer l.fleet.mu.Unlock()
 	if !l.overdueAt.IsZero() && now.After(l.overdueAt) {
 		l.recordResponse(now.Sub(l.sentAt), now)
+		l.countResponse(now.Sub(l.sentAt))
 	}
 	l.release(now)
 }
--- a/core/process/placement/leaving.go
+++ b/core/process/placement/leaving.go
@@ -145,10 +145,10 @@
 	return f.inService(t) && !t.waiting(now) && (!t.departure.known() || f.lastResort(t, now))
 }
 
-// inService reports whether the target is listed, and its data centre in service and
-// reachable. The caller holds f.mu.
+// inService reports whether the target is listed, of a version that may get requests, and
+// its data centre in service and reachable. The caller holds f.mu.
 func (f *Fleet) inService(t *Target) bool {
-	return t.listed && !f.outOfService[t.instance.DataCentre()] && !f.unreachable(t.instance.DataCentre())
+	return t.listed && t.group.admits(t) && !f.outOfService[t.instance.DataCentre()] && !f.unreachable(t.instance.DataCentre())
 }
 
 // lastResort reports whether a leaving target may still get requests, because every
--- a/core/process/placement/queue.go
+++ b/core/process/placement/queue.go
@@ -109,6 +109,7 @@
 		select {
 		case w.notify <- lease:
 			w.granted = true
+			g.countSend(lease, true)
 			g.queue.waiting = append(g.queue.waiting[:i], g.queue.waiting[i+1:]...)
 		default:
 			delete(t.inFlight, lease)
--- a/core/process/placement/waiting.go
+++ b/core/process/placement/waiting.go
@@ -42,6 +42,7 @@
 		}
 		l.target.recordWait(wait, now)
 	}
+	l.countFailure()
 	l.release(now)
 }
 
--- a/core/process/rollout/codec.go
+++ b/core/process/rollout/codec.go
@@ -44,8 +44,9 @@
 	enc.Uint(r.allowance)
 	enc.Uint(r.requests)
 	enc.Uint(r.sent)
-	enc.Uint(r.oldInFlight)
-	enc.Uint(r.overdue)
+	enc.Uint(r.running.old)
+	enc.Uint(r.running.oldOverdue)
+	enc.Uint(r.running.overdue)
 	enc.Uint(uint64(len(r.routes)))
 	for _, counts := range r.routes {
 		enc.String(counts.route)
@@ -58,7 +59,7 @@
 // DecodeReport decodes a report. On invalid input dec.Err returns the error.
 func DecodeReport(dec *frame.Decoder) Report {
 	r := Report{service: dec.String(), order: dec.Uint(), stage: Stage(dec.Uint()), allowance: dec.Uint(),
-		requests: dec.Uint(), sent: dec.Uint(), oldInFlight: dec.Uint(), overdue: dec.Uint()}
+		requests: dec.Uint(), sent: dec.Uint(), running: InFlight{old: dec.Uint(), oldOverdue: dec.Uint(), overdue: dec.Uint()}}
 	for range dec.Len() {
 		r.routes = append(r.routes, RouteCounts{route: dec.String(), before: dec.Duration(), old: decodeCounts(dec), updated: decodeCounts(dec)})
 	}
--- a/core/process/rollout/counts.go
+++ b/core/process/rollout/counts.go
@@ -123,11 +123,8 @@
 	// the new version.
 	requests uint64
 	sent     uint64
-	// oldInFlight is the number of attempts at targets of the old versions that have not
-	// ended, and overdue that of attempts at the new version whose response is overdue.
-	oldInFlight uint64
-	overdue     uint64
-	routes      []RouteCounts
+	running  InFlight
+	routes   []RouteCounts
 }
 
 // Service returns the name of the service.
--- a/core/process/rollout/gate.go
+++ b/core/process/rollout/gate.go
@@ -95,13 +95,13 @@
 // Version returns the target version.
 func (g *Gate) Version() string { return g.version }
 
-// Take applies a grant that is valid until a time. It reports whether it has changed what
-// the VM may do.
+// Take applies a grant that is valid until a time. It reports whether the grant has another
+// stage than the one before.
 func (g *Gate) Take(grant Grant, until bootclock.Time) bool {
 	if grant.order != g.order {
 		return false
 	}
-	changed := grant != g.grant
+	changed := grant.stage != g.grant.stage
 	g.grant = grant
 	g.expires = until
 	return changed
@@ -163,16 +163,35 @@
 	return &r.old
 }
 
-// Report returns the counts, with the numbers of attempts at the old versions that have
-// not ended and of attempts at the new one that are overdue. usable is false if this VM
-// has no target of the new version that it can use; it then goes on with the old ones.
-func (g *Gate) Report(oldInFlight, overdue int, usable bool, now bootclock.Time) Report {
+// InFlight counts attempts that have not ended.
+type InFlight struct {
+	old, oldOverdue, overdue uint64
+}
+
+// Add counts an attempt at the new version or at an old one, whose response is overdue or
+// not.
+func (f *InFlight) Add(updated, overdue bool) {
+	switch {
+	case updated && overdue:
+		f.overdue++
+	case updated:
+	case overdue:
+		f.old++
+		f.oldOverdue++
+	default:
+		f.old++
+	}
+}
+
+// Report returns the counts, with the attempts that have not ended. usable is false if this
+// VM has no target of the new version that it can use; it then goes on with the old ones.
+func (g *Gate) Report(running InFlight, usable bool, now bootclock.Time) Report {
 	stage := g.Stage(now)
 	if !usable {
 		stage = min(stage, Full)
 	}
 	r := Report{service: g.service, order: g.order, stage: stage, allowance: g.grant.allowance,
-		requests: g.requests, sent: g.sent, oldInFlight: uint64(oldInFlight), overdue: uint64(overdue)}
+		requests: g.requests, sent: g.sent, running: running}
 	for _, counts := range g.routes {
 		r.routes = append(r.routes, *counts)
 	}
--- a/core/process/rollout/judge.go
+++ b/core/process/rollout/judge.go
@@ -120,9 +120,9 @@
 
 func newJudge() judge { return judge{routes: make(map[string]*evidence)} }
 
-// step adds the counts of all routes, and the number of attempts at the new version whose
-// response is overdue and counts as bad.
-func (j *judge) step(routes map[string]*RouteCounts, overdue uint64) {
+// step adds the counts of all routes, and the attempts whose response is overdue, which
+// count as bad.
+func (j *judge) step(routes map[string]*RouteCounts, running InFlight) {
 	var sum tally
 	for name, counts := range routes {
 		t := tallyOf(*counts)
@@ -132,8 +132,7 @@
 		}
 		j.routes[name].step(t)
 	}
-	sum.updatedBad += overdue
-	sum.updatedTotal += overdue
+	sum.add(tally{oldBad: running.oldOverdue, oldTotal: running.oldOverdue, updatedBad: running.overdue, updatedTotal: running.overdue})
 	j.all.step(sum)
 }
 
--- a/core/process/rollout/run.go
+++ b/core/process/rollout/run.go
@@ -188,12 +188,15 @@
 		copied := *counts
 		routes[route] = &copied
 	}
-	overdue := uint64(0)
+	var running InFlight
 	for _, v := range r.vms {
 		addRoutes(routes, v.report.routes)
-		overdue += v.report.overdue
+		if now.Sub(v.at) < forgetTime {
+			running.overdue += v.report.running.overdue
+			running.oldOverdue += v.report.running.oldOverdue
+		}
 	}
-	r.judge.step(routes, overdue)
+	r.judge.step(routes, running)
 }
 
 // waitFor returns the VMs whose state matters: those from which messages arrive, and those
--- a/core/process/rollout/simulation_test.go
+++ b/core/process/rollout/simulation_test.go
@@ -206,9 +206,13 @@
 	if v.cut || s.record.State() != rollout.Running {
 		return
 	}
+	var running rollout.InFlight
+	for range v.inOld {
+		running.Add(false, false)
+	}
 	v.number++
 	v.sentAt[v.number] = s.now()
-	r, id, confirmation, number := v.gate.Report(v.inOld, 0, true, s.now()), fmt.Sprint(v.starts), v.latest, v.number
+	r, id, confirmation, number := v.gate.Report(running, true, s.now()), fmt.Sprint(v.starts), v.latest, v.number
 	s.after(delayTicks, func() {
 		for _, c := range s.controls {
 			c.TakeReport(v.name, id, r, confirmation, s.now())
--- a/core/process/rollout/step.go
+++ b/core/process/rollout/step.go
@@ -122,7 +122,7 @@
 	if r.stage != Closed || r.remaining(now) <= 0 || r.judge.doubtful() {
 		return false
 	}
-	if r.confirmed(vms, now, func(p Report) bool { return p.oldInFlight == 0 }) {
+	if r.confirmed(vms, now, func(p Report) bool { return p.running.old == 0 }) {
 		return true
 	}
 	return r.remaining(now) <= giveUp+judgeInterval && now.Sub(r.stageSince) >= strayTime &&
