--- a/core/process/cluster/calls.go
+++ b/core/process/cluster/calls.go
@@ -104,7 +104,7 @@
 // submitTo proposes a command at the leader, locally if this VM is the leader.
 func (c *Cluster) submitTo(ctx context.Context, leader string, command replica.Command) (replica.Outcome, error) {
 	if leader == c.self.address {
-		return c.control.Propose(ctx, command)
+		return c.propose(ctx, command)
 	}
 	payload, err := c.call(ctx, leader, func(number uint64) peer.Message {
 		return peer.NewForwardedCommand(number, replica.EncodeCommand(command))
@@ -173,7 +173,7 @@
 		f.cluster.log.Warn("failed to decode a forwarded command", logsink.Cause(err))
 		return nil
 	}
-	outcome, err := f.cluster.control.Propose(ctx, command)
+	outcome, err := f.cluster.propose(ctx, command)
 	if err != nil {
 		f.cluster.log.Info("forwarded command failed", logsink.Cause(err))
 		return nil
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -104,6 +104,7 @@
 	reader        ListReader
 	calls         *peer.PendingCalls
 	findingSource FindingSource
+	rollouts      rolloutRole
 
 	// observerMu serializes the calls to the observer. It is locked before mu.
 	observerMu sync.Mutex
@@ -143,7 +144,7 @@
 // New returns the cluster of the process self. The seeds are the addresses of the
 // control VMs that Run dials first. No session is opened before Run.
 func New(self Identity, seeds []string, reader ListReader, observer Observer, log *zap.Logger) *Cluster {
-	return &Cluster{
+	c := &Cluster{
 		self:           self,
 		log:            log,
 		observer:       observer,
@@ -156,6 +157,8 @@
 		dataCentreSeen: make(map[string]time.Time),
 		entryVMSeen:    make(map[string]time.Time),
 	}
+	c.rollouts.init()
+	return c
 }
 
 // EnableControl makes this process a control VM that stores the replicated log
@@ -184,6 +187,10 @@
 	if c.control != nil {
 		go (&controlLoop{cluster: c}).run(ctx)
 		go (&publishLoop{cluster: c}).run(ctx)
+		go (&rolloutLoop{cluster: c}).run(ctx)
+	}
+	if c.rollouts.gate != nil {
+		go (&reportLoop{cluster: c}).run(ctx)
 	}
 	go (&readLoop{cluster: c}).run(ctx)
 	switch {
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -7,6 +7,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/connection/session"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
@@ -54,6 +55,10 @@
 		c.receiveLate(m, now)
 	case peer.TargetList:
 		c.receiveList(s, m, now)
+	case peer.RolloutReports:
+		c.receiveRolloutReports(s, m, bootclock.Now())
+	case peer.RolloutGrants:
+		c.receiveRolloutGrants(s, m, now, bootclock.Now())
 	case peer.ForwardedCommand:
 		go (&forwardedCommand{cluster: c, session: s, message: m}).run()
 	case peer.ReadRoutes:
--- /dev/null
+++ b/core/process/cluster/rollout.go
@@ -0,0 +1,325 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/connection/session"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+	"github.com/mulberrydale/mulberrydale/core/process/control"
+	"github.com/mulberrydale/mulberrydale/core/process/logsink"
+	"github.com/mulberrydale/mulberrydale/core/process/replica"
+	"github.com/mulberrydale/mulberrydale/core/process/rollout"
+	"github.com/mulberrydale/mulberrydale/core/result"
+)
+
+const (
+	// rolloutStepInterval is the time between two steps of the leader.
+	rolloutStepInterval = 100 * time.Millisecond
+	// grantContactLimit is the greatest age of the leader's last contact with a quorum at
+	// which it sends grants.
+	grantContactLimit = time.Second
+	// rolloutPeerTimeout is the time without a presence after which a rollout no longer
+	// waits for an entry VM, whose grants have expired by then.
+	rolloutPeerTimeout = 1500 * time.Millisecond
+	// rolloutProposalTimeout bounds the wait for the outcome of a decision. A decision
+	// without one is proposed again.
+	rolloutProposalTimeout = time.Second
+)
+
+// rolloutRole holds the part of a process in rollouts. Its lock is taken alone.
+type rolloutRole struct {
+	bounds rollout.Bounds
+	// gate is nil on a VM that answers no callers.
+	gate RolloutGate
+
+	mu         sync.Mutex
+	controller *rollout.Controller
+	reporters  map[string]rolloutReporter
+	stages     map[string]rollout.Stage
+	// proposing has the names of what was proposed to the log and has no outcome yet.
+	proposing map[string]bool
+	reporter  reporterState
+}
+
+// rolloutReporter is an entry VM that has sent reports.
+type rolloutReporter struct {
+	startID string
+	session *session.Session
+	// number is that of its latest reports, and answered that of the latest ones that
+	// were answered with grants.
+	number, answered uint64
+	grants           []rollout.Grant
+}
+
+// SetRollouts sets the bounds of rollouts and, on a VM that answers callers, what counts
+// its requests. It is called before Run and before EnableControl.
+func (c *Cluster) SetRollouts(bounds rollout.Bounds, gate RolloutGate) {
+	c.rollouts.bounds = bounds
+	c.rollouts.gate = gate
+}
+
+// init prepares the role of a process with the default bounds.
+func (r *rolloutRole) init() {
+	r.bounds = rollout.DefaultBounds()
+	r.reporters = make(map[string]rolloutReporter)
+	r.stages = make(map[string]rollout.Stage)
+	r.proposing = make(map[string]bool)
+	r.reporter.sentAt = make(map[uint64]bootclock.Time)
+}
+
+// StartRollout submits the order of a rollout through the leader, as Submit does. The same
+// order may be sent more than once.
+func (c *Cluster) StartRollout(ctx context.Context, order replica.StartRollout) (replica.RolloutOutcome, error) {
+	var out replica.RolloutOutcome
+	err := c.retryWithLeader(ctx, func(ctx context.Context, leader string) error {
+		outcome, err := c.submitTo(ctx, leader, order)
+		if err != nil {
+			return err
+		}
+		accepted, ok := outcome.(replica.RolloutOutcome)
+		if !ok {
+			return result.New(result.Internal, "the outcome of the command is not of type replica.RolloutOutcome")
+		}
+		out = accepted
+		return nil
+	})
+	return out, err
+}
+
+// HasTargets reports whether the target list of this VM has a target of a service.
+func (c *Cluster) HasTargets(service string) bool { return len(c.listedVersions()[service]) > 0 }
+
+// propose commits a command to the log if this VM is the leader. To the order of a rollout
+// it adds what only the leader knows.
+func (c *Cluster) propose(ctx context.Context, command replica.Command) (replica.Outcome, error) {
+	if order, ok := command.(replica.StartRollout); ok {
+		listed := c.listedVersions()[order.Service()]
+		c.rollouts.mu.Lock()
+		renewed := c.rollouts.controller != nil && c.rollouts.controller.MayRepeat(order.Service(), bootclock.Now())
+		c.rollouts.mu.Unlock()
+		command = order.WithLeaderView(listed, renewed)
+	}
+	return c.control.Propose(ctx, command)
+}
+
+// listedVersions returns the versions of the targets in the list by service.
+func (c *Cluster) listedVersions() map[string][]string {
+	c.mu.Lock()
+	list := c.list
+	c.mu.Unlock()
+	out := make(map[string][]string)
+	for _, i := range list.Instances() {
+		if !slices.Contains(out[i.Service()], i.Version()) {
+			out[i.Service()] = append(out[i.Service()], i.Version())
+		}
+	}
+	return out
+}
+
+// rolloutLoop follows the rollouts on a control VM and decides them while it leads.
+type rolloutLoop struct{ cluster *Cluster }
+
+func (l *rolloutLoop) run(ctx context.Context) {
+	ticker := time.NewTicker(rolloutStepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			l.cluster.stepRollouts(ctx, time.Now(), bootclock.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// stepRollouts observes the log, and advances the rollouts if this VM leads it.
+func (c *Cluster) stepRollouts(ctx context.Context, now time.Time, bootNow bootclock.Time) {
+	status := c.control.Status()
+	if !status.CaughtUp() {
+		return
+	}
+	vms := c.presentEntryVMs(now)
+	inContact := status.Leads() && status.QuorumAge(now) < grantContactLimit
+	r := &c.rollouts
+	r.mu.Lock()
+	if r.controller == nil {
+		r.controller = rollout.NewController(r.bounds)
+	}
+	r.controller.Observe(status.Routes().Rollouts(), bootNow)
+	r.controller.SetLeader(status.Leads(), status.Term(), bootNow)
+	decisions := r.controller.Step(vms, inContact, bootNow)
+	c.logStages(status.Routes().Rollouts(), inContact)
+	r.mu.Unlock()
+	if !inContact {
+		return
+	}
+	c.sendRolloutGrants(status.Term(), now, bootNow)
+	for _, d := range decisions {
+		c.proposeDecision(ctx, d)
+	}
+	c.recordVersions(ctx, status)
+}
+
+// logStages logs the rollouts whose stage has changed. The caller holds rollouts.mu.
+func (c *Cluster) logStages(records []rollout.Record, leads bool) {
+	for _, record := range records {
+		stage := c.rollouts.controller.Stage(record.Service())
+		if leads && stage != c.rollouts.stages[record.Service()] {
+			c.log.Info("rollout stage changed", zap.String("service", record.Service()), zap.Uint64("order", record.Order()),
+				zap.String("version", record.Version()), zap.Stringer("stage", stage), zap.String("evidence", c.rollouts.controller.Evidence(record.Service())))
+		}
+		c.rollouts.stages[record.Service()] = stage
+	}
+}
+
+// presentEntryVMs returns the names of the entry VMs from which messages arrive.
+func (c *Cluster) presentEntryVMs(now time.Time) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, r := range c.sessions {
+		if r.identified && r.presence.Address() == "" && now.Sub(r.lastSeen) < rolloutPeerTimeout {
+			out = append(out, r.presence.VM())
+		}
+	}
+	return out
+}
+
+// receiveRolloutReports passes the reports of an entry VM to the controller.
+func (c *Cluster) receiveRolloutReports(s *session.Session, m peer.RolloutReports, bootNow bootclock.Time) {
+	c.mu.Lock()
+	r := c.sessions[s]
+	identified := r != nil && r.identified
+	vm := ""
+	if identified {
+		vm = r.presence.VM()
+	}
+	c.mu.Unlock()
+	if identified && c.control != nil {
+		c.takeRolloutReports(vm, s, m, bootNow)
+	}
+}
+
+// takeRolloutReports takes the reports of a VM, which is this one if the session is nil.
+func (c *Cluster) takeRolloutReports(vm string, s *session.Session, m peer.RolloutReports, bootNow bootclock.Time) {
+	r := &c.rollouts
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.controller == nil {
+		return
+	}
+	for _, report := range m.Reports() {
+		r.controller.TakeReport(vm, m.StartID(), report, m.Confirmation(), bootNow)
+	}
+	known := r.reporters[vm]
+	if known.startID != m.StartID() {
+		known = rolloutReporter{startID: m.StartID()}
+	}
+	known.session = s
+	known.number = max(known.number, m.Number())
+	r.reporters[vm] = known
+}
+
+// sendRolloutGrants sends grants to the VMs whose latest reports were not answered yet, or
+// whose grants have changed.
+func (c *Cluster) sendRolloutGrants(term uint64, now time.Time, bootNow bootclock.Time) {
+	r := &c.rollouts
+	r.mu.Lock()
+	var local *peer.RolloutGrants
+	for vm, known := range r.reporters {
+		number, grants := r.controller.Grants(vm, known.startID)
+		if len(grants) == 0 || known.answered == known.number && slices.Equal(grants, known.grants) {
+			continue
+		}
+		m := peer.NewRolloutGrants(known.startID, term, number, known.number, grants)
+		if known.session == nil {
+			local = &m
+		} else {
+			known.session.Send(peer.Encode(m))
+		}
+		known.answered = known.number
+		known.grants = grants
+		r.reporters[vm] = known
+	}
+	r.mu.Unlock()
+	if local != nil {
+		c.receiveRolloutGrants(nil, *local, now, bootNow)
+	}
+}
+
+// proposeDecision writes a decision to the log, unless the same was proposed and has no
+// outcome yet.
+func (c *Cluster) proposeDecision(ctx context.Context, d rollout.Decision) {
+	var command replica.Command
+	switch d.Kind() {
+	case rollout.StateElapsed:
+		command = replica.NewStateElapsed(d.Service(), d.Order(), d.Elapsed())
+	case rollout.Succeed:
+		command = replica.NewEndRollout(d.Service(), d.Order(), true, d.Reason())
+	case rollout.RollBack:
+		command = replica.NewEndRollout(d.Service(), d.Order(), false, d.Reason())
+	}
+	fields := []zap.Field{zap.String("service", d.Service()), zap.Uint64("order", d.Order()), zap.Duration("elapsed", d.Elapsed()), zap.String("reason", d.Reason())}
+	c.startProposal(ctx, &rolloutProposal{cluster: c, command: command, name: d.Kind().String() + " " + d.Service(), fields: fields})
+}
+
+// recordVersions proposes to record the versions in use of services that have targets in
+// the list and no record yet.
+func (c *Cluster) recordVersions(ctx context.Context, status control.Status) {
+	var missing []replica.ServiceVersions
+	for service, versions := range c.listedVersions() {
+		record, _ := rollout.Find(status.Routes().Rollouts(), service)
+		if len(record.InUse()) > 0 || !c.rollouts.bounds.Enforced() && record.Order() == 0 {
+			continue
+		}
+		if len(record.WithVersions(versions).InUse()) > 0 {
+			missing = append(missing, replica.NewServiceVersions(service, versions))
+		}
+	}
+	if len(missing) > 0 {
+		c.startProposal(ctx, &rolloutProposal{cluster: c, command: replica.NewRecordVersions(missing), name: "record-versions", fields: []zap.Field{zap.Int("services", len(missing))}})
+	}
+}
+
+// startProposal proposes a command in the background, unless one of that name has no
+// outcome yet.
+func (c *Cluster) startProposal(ctx context.Context, p *rolloutProposal) {
+	c.rollouts.mu.Lock()
+	defer c.rollouts.mu.Unlock()
+	if !c.rollouts.proposing[p.name] {
+		c.rollouts.proposing[p.name] = true
+		go p.run(ctx)
+	}
+}
+
+// rolloutProposal is a command of the leader about rollouts.
+type rolloutProposal struct {
+	cluster *Cluster
+	command replica.Command
+	name    string
+	fields  []zap.Field
+}
+
+// run commits the command.
+func (p *rolloutProposal) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, rolloutProposalTimeout)
+	defer cancel()
+	_, err := p.cluster.control.Propose(ctx, p.command)
+	p.cluster.rollouts.mu.Lock()
+	delete(p.cluster.rollouts.proposing, p.name)
+	p.cluster.rollouts.mu.Unlock()
+	fields := append([]zap.Field{zap.String("decision", p.name)}, p.fields...)
+	if err != nil {
+		p.cluster.log.Warn("rollout decision not acknowledged", append(fields, logsink.Cause(err))...)
+		return
+	}
+	if _, elapsed := p.command.(replica.StateElapsed); !elapsed {
+		p.cluster.log.Info("rollout decision", fields...)
+	}
+}
--- a/core/process/rollout/controller.go
+++ b/core/process/rollout/controller.go
@@ -210,6 +210,14 @@
 	return Hold
 }
 
+// Evidence describes what the leader has judged of the rollout of a service, for the log.
+func (c *Controller) Evidence(service string) string {
+	if r := c.runs[service]; r != nil {
+		return r.judge.String()
+	}
+	return ""
+}
+
 func (c *Controller) services() []string {
 	out := make([]string, 0, len(c.runs))
 	for service := range c.runs {
