--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
+	"github.com/mulberrydale/mulberrydale/core/process/rollout"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
@@ -64,6 +65,16 @@
 	c.SetFindingSource(e.fleet)
 }
 
+// SetRollouts sets the bounds of rollouts, and makes the cluster exchange reports and grants
+// with the fleet of this VM. It must be called after SetCluster, and before the cluster
+// runs.
+func (e *Entry) SetRollouts(bounds rollout.Bounds) {
+	if bounds.Enforced() {
+		e.fleet.EnforceVersions()
+	}
+	e.cluster.SetRollouts(bounds, e.fleet)
+}
+
 // Handler returns the HTTP handler for the requests of callers.
 func (e *Entry) Handler() http.Handler { return e.gateway }
 
@@ -98,12 +109,13 @@
 	go (&membershipLoop{entry: e}).run(ctx)
 }
 
-// RoutesChanged applies accepted routes and the set of data centres that are
-// out of service. Version 0 means that no routes are accepted yet. The previous
+// RoutesChanged applies accepted routes, the set of data centres that are out of
+// service, and the versions in use and rollouts. Version 0 means that no routes are accepted yet. The previous
 // routing table stays in use if the new one is not of a higher version or cannot
 // be decoded.
 func (e *Entry) RoutesChanged(routes replica.Routes, now time.Time) {
 	e.fleet.SetOutOfService(routes.OutOfService(), now)
+	e.fleet.SetRollouts(routes.Rollouts(), now)
 	if routes.Version() == 0 {
 		return
 	}
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -123,8 +123,10 @@
 		observer = p.entry
 	}
 	p.cluster = cluster.New(identity, s.seeds, p.adapter.NewListReader(s, p.log), observer, p.log)
+	p.cluster.SetRollouts(s.rollouts, nil)
 	if p.entry != nil {
 		p.entry.SetCluster(p.cluster)
+		p.entry.SetRollouts(s.rollouts)
 	}
 	sessionsListener, err := p.startControl()
 	if err != nil {
--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrydale/mulberrydale/core/connection/exchange"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
+	"github.com/mulberrydale/mulberrydale/core/process/rollout"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
@@ -34,12 +35,13 @@
 	voters            int
 	limits            placement.Limits
 	targetTimes       placement.TargetTimes
+	rollouts          rollout.Bounds
 }
 
 // NewSettings returns the settings of a VM in a data centre that serves metrics
 // on metricsAddress.
 func NewSettings(vm, dataCentre, metricsAddress string) Settings {
-	return Settings{vm: vm, dataCentre: dataCentre, metricsAddress: metricsAddress}
+	return Settings{vm: vm, dataCentre: dataCentre, metricsAddress: metricsAddress, rollouts: rollout.DefaultBounds()}
 }
 
 // WithCallers makes the VM an entry VM that answers callers and the readiness
@@ -94,12 +96,21 @@
 	return s
 }
 
+// WithRollouts sets the bounds of rollouts, which apply to all VMs together.
+func (s Settings) WithRollouts(bounds rollout.Bounds) Settings {
+	s.rollouts = bounds
+	return s
+}
+
 // WithGracePeriod sets the time between SIGTERM and SIGKILL.
 func (s Settings) WithGracePeriod(d time.Duration) Settings {
 	s.gracePeriod = d
 	return s
 }
 
+// Rollouts returns the bounds of rollouts.
+func (s Settings) Rollouts() rollout.Bounds { return s.rollouts }
+
 // VM returns the name of the VM.
 func (s Settings) VM() string { return s.vm }
 
--- a/mulberrydale/routes/list.go
+++ b/mulberrydale/routes/list.go
@@ -57,6 +57,7 @@
 	for _, o := range list.Elements() {
 		i := discovery.NewInstance(o.String("id"), o.String("service"), o.String("address"), o.String("data-centre"), o.IntOr("slots", 0, maxSlots, 0)).
 			WithLeaving(o.BoolOr("leaving", false)).
+			WithVersion(o.StringOr("version", "")).
 			WithColdFor(time.Duration(o.IntOr("cold-ms", 0, maxMillis, 0)) * time.Millisecond)
 		if o.Err() != nil || i.ID() == "" || !discovery.ValidAddress(i.Address()) {
 			invalid++
--- a/mulberrydale/routes/settings.go
+++ b/mulberrydale/routes/settings.go
@@ -40,6 +40,7 @@
 		WithTargetTimes(placement.NewTargetTimes(
 			time.Duration(root.IntOr("list-lag-ms", 0, maxMillis, defaultListLagMillis))*time.Millisecond,
 			time.Duration(root.IntOr("target-drain-ms", 0, maxMillis, defaultDrainTimeoutMillis))*time.Millisecond)).
+		WithRollouts(decodeRolloutBounds(root)).
 		WithSeeds(decodeSeeds(doc, root), root.BoolOr("first-start", false)).
 		WithTargets(root.Address("targets-address"), decodePlacementLimits(root))
 	if root.Has("callers-address") {
--- a/mulberrydale/routes/wire.go
+++ b/mulberrydale/routes/wire.go
@@ -44,7 +44,7 @@
 }
 
 // OperatorHandler returns the HTTP handler through which operators publish and
-// read the routes, and take data centres out of service and back.
+// read the routes, take data centres out of service and back, and order rollouts.
 func (Wire) OperatorHandler(c *host.OperatorAPI) http.Handler { return operators{api: c} }
 
 // operators handles the operators' calls.
@@ -54,7 +54,12 @@
 func (o operators) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	dataCentre := strings.TrimSuffix(strings.TrimPrefix(r.URL.Path, pathDataCentres), suffixOutOfService)
 	isDataCentre := dataCentre != "" && !strings.Contains(dataCentre, "/") && r.URL.Path == pathDataCentres+dataCentre+suffixOutOfService
+	service, isRollout := strings.CutPrefix(r.URL.Path, pathRollouts)
 	switch {
+	case isRollout && service != "" && r.Method == http.MethodPut:
+		o.startRollout(w, r, service)
+	case isRollout && service != "" && r.Method == http.MethodGet:
+		o.api.ReadRollout(w, r, service, encodeRollout)
 	case r.URL.Path == pathRoutes && r.Method == http.MethodPut:
 		o.api.Publish(w, r)
 	case r.URL.Path == pathRoutes && r.Method == http.MethodGet:
