rollout: tests in simulated time with faults in each stage

Measured in the simulation: a leader lost while traffic moves made good versions miss the deadline, and bad ones exceed their share. The stages after the test now hurry when little time is left, and their grants last 0.6 s.

--- a/core/process/cluster/rollout.go
+++ b/core/process/cluster/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -149,7 +150,7 @@
 	r := &c.rollouts
 	r.mu.Lock()
 	if r.controller == nil {
-		r.controller = rollout.NewController(r.bounds)
+		r.controller = rollout.NewController(r.bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	}
 	r.controller.Observe(status.Routes().Rollouts(), bootNow)
 	r.controller.SetLeader(status.Leads(), status.Term(), bootNow)
--- a/core/process/cluster/rolloutreport.go
+++ b/core/process/cluster/rolloutreport.go
@@ -24,11 +24,11 @@
 )
 
 // RolloutGate is the part of an entry VM that counts its requests for rollouts and applies
-// the grants of the leader, which are valid until a time. TakeRolloutGrants returns the
-// grants that changed the stage of a rollout.
+// the grants of the leader, which are valid until a time. TakeRolloutGrant reports whether
+// the stage of the rollout has changed.
 type RolloutGate interface {
 	RolloutReports(now time.Time) []rollout.Report
-	TakeRolloutGrants(grants []rollout.Grant, until bootclock.Time, now time.Time) []rollout.Grant
+	TakeRolloutGrant(grant rollout.Grant, until bootclock.Time, now time.Time) bool
 }
 
 // reporterState is what an entry VM knows of its reports and of the leader's grants.
@@ -71,7 +71,7 @@
 	state.number++
 	state.sentAt[state.number] = bootNow
 	for number, at := range state.sentAt {
-		if bootNow.Sub(at) > r.bounds.GrantTTL() {
+		if bootNow.Sub(at) > r.bounds.GrantTTL(rollout.Test) {
 			delete(state.sentAt, number)
 		}
 	}
@@ -118,11 +118,15 @@
 	if !known || older {
 		return
 	}
-	changed := r.gate.TakeRolloutGrants(m.Grants(), sentAt.Add(r.bounds.GrantTTL()), now)
-	for _, g := range changed {
+	changed := false
+	for _, g := range m.Grants() {
+		if !r.gate.TakeRolloutGrant(g, sentAt.Add(r.bounds.GrantTTL(g.Stage())), now) {
+			continue
+		}
+		changed = true
 		c.log.Info("rollout grant", zap.String("service", g.Service()), zap.Uint64("order", g.Order()), zap.Stringer("stage", g.Stage()), zap.Duration("age", bootNow.Sub(sentAt)))
 	}
-	if len(changed) > 0 {
+	if changed {
 		c.sendRolloutReports(now, bootNow)
 	}
 }
--- a/core/process/placement/version.go
+++ b/core/process/placement/version.go
@@ -189,19 +189,15 @@
 	return out
 }
 
-// TakeRolloutGrants applies grants of the leader that are valid until a time. It returns
-// those that changed the stage of a rollout.
-func (f *Fleet) TakeRolloutGrants(grants []rollout.Grant, until bootclock.Time, now time.Time) []rollout.Grant {
+// TakeRolloutGrant applies a grant of the leader that is valid until a time. It reports
+// whether the grant has another stage than the one before.
+func (f *Fleet) TakeRolloutGrant(grant rollout.Grant, until bootclock.Time, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var changed []rollout.Grant
-	for _, grant := range grants {
-		g := f.groups[grant.Service()]
-		if g == nil || g.versions.gate == nil || !g.versions.gate.Take(grant, until) {
-			continue
-		}
-		changed = append(changed, grant)
-		f.grantWaiting(g, now)
+	g := f.groups[grant.Service()]
+	if g == nil || g.versions.gate == nil || !g.versions.gate.Take(grant, until) {
+		return false
 	}
-	return changed
+	f.grantWaiting(g, now)
+	return true
 }
--- a/core/process/rollout/allot.go
+++ b/core/process/rollout/allot.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,6 +27,9 @@
 	// paceTime, and half as many more as responses were good.
 	paceTime  = 500 * time.Millisecond
 	firstPace = 3
+	// doubtSlack is the number of further requests with which a doubt about the version is
+	// resolved.
+	doubtSlack = 10
 	// maxTestPart is the largest part of the requests that goes to the new version during
 	// the test: the old versions are compared with.
 	maxTestPart = 0.6
@@ -49,6 +53,9 @@
 	if rate*r.record.duration.Seconds() > 4*b.exposureSlack {
 		slack *= firstSlack + (1-firstSlack)*r.testFraction(now)
 	}
+	if r.judge.doubtful() {
+		slack += doubtSlack
+	}
 	return testShare*b.exposureShare*float64(all) + slack
 }
 
@@ -58,12 +65,12 @@
 	if r.elapsed(now) < measureTime {
 		return
 	}
-	all, sent, charged := r.totals()
+	all, sent, charged := r.totals(now)
 	if sent >= firstPace && float64(sent) >= maxTestPart*float64(all) {
 		return
 	}
 	budget := r.budget(c.bounds, all, now)
-	candidates, weightOf := r.weights(now)
+	candidates, weightOf := r.weights(c.random, now)
 	expected := float64(all) / r.elapsed(now).Seconds() * paceTime.Seconds()
 	good := float64(r.judge.all.last.updatedTotal - r.judge.all.last.updatedBad)
 	limit := min(maxTestPart, (firstPace+good/2)/max(expected, 0.1))
@@ -97,10 +104,11 @@
 
 // weights returns the VMs that report, in an order at random in which VMs with requests
 // come earlier, and the part of the requests that each is expected to get.
-func (r *run) weights(now bootclock.Time) ([]string, map[string]float64) {
+func (r *run) weights(random *rand.Rand, now bootclock.Time) ([]string, map[string]float64) {
 	var vms []string
 	keys, weightOf, sum := make(map[string]float64), make(map[string]float64), 0.0
-	for vm, v := range r.vms {
+	for _, vm := range slices.Sorted(maps.Keys(r.vms)) {
+		v := r.vms[vm]
 		if now.Sub(v.at) > confirmationAge {
 			continue
 		}
@@ -108,7 +116,7 @@
 		weight := float64(v.report.requests) + 0.5
 		weightOf[vm] = weight
 		sum += weight
-		keys[vm] = rand.ExpFloat64() / weight
+		keys[vm] = random.ExpFloat64() / weight
 	}
 	for vm := range weightOf {
 		weightOf[vm] /= sum
--- a/core/process/rollout/bounds.go
+++ b/core/process/rollout/bounds.go
@@ -11,8 +11,10 @@
 
 const (
 	// maxGrantTTL is the longest time for which a grant is valid after the report that
-	// it answers was sent.
-	maxGrantTTL = 1200 * time.Millisecond
+	// it answers was sent, and maxMovingTTL the same in the stages after Test, in which
+	// the new version gets most requests.
+	maxGrantTTL  = 1200 * time.Millisecond
+	maxMovingTTL = 600 * time.Millisecond
 	// grantTTLFraction is the largest part of the rollback time for which a VM that is
 	// out of touch may go on sending.
 	grantTTLFraction = 0.4
@@ -43,7 +45,12 @@
 // without a rollout.
 func (b Bounds) Enforced() bool { return b.enforced }
 
-// GrantTTL returns how long a grant is valid after the report that it answers was sent.
-func (b Bounds) GrantTTL() time.Duration {
-	return min(maxGrantTTL, time.Duration(grantTTLFraction*float64(b.rollbackTime)))
+// GrantTTL returns how long a grant of a stage is valid after the report that it answers
+// was sent.
+func (b Bounds) GrantTTL(s Stage) time.Duration {
+	ttl := maxGrantTTL
+	if s > Test {
+		ttl = maxMovingTTL
+	}
+	return min(ttl, time.Duration(grantTTLFraction*float64(b.rollbackTime)))
 }
--- a/core/process/rollout/controller.go
+++ b/core/process/rollout/controller.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 // for concurrent use.
 type Controller struct {
 	bounds Bounds
+	random *rand.Rand
 	runs   map[string]*run
 	// ended has when this VM first saw the end of the latest rollout of a service.
 	ended map[string]endedOrder
@@ -38,9 +40,10 @@
 	at    bootclock.Time
 }
 
-// NewController returns a controller without rollouts.
-func NewController(bounds Bounds) *Controller {
-	return &Controller{bounds: bounds, runs: make(map[string]*run), ended: make(map[string]endedOrder)}
+// NewController returns a controller without rollouts. The random numbers choose among the
+// entry VMs.
+func NewController(bounds Bounds, random *rand.Rand) *Controller {
+	return &Controller{bounds: bounds, random: random, runs: make(map[string]*run), ended: make(map[string]endedOrder)}
 }
 
 // Observe takes the records of the log. It is called on every control VM, often, because
--- a/core/process/rollout/judge.go
+++ b/core/process/rollout/judge.go
@@ -25,7 +25,8 @@
 	// bad responses is averaged.
 	oldWindow = 200
 	// maxStepEvidence bounds the evidence against the version from one step: a pause or a
-	// crash of one target, or a burst of slow responses, is over after one or two.
+	// crash of one target, or a burst of slow responses, is over after one or two. It does
+	// not bound the first step with responses, which for a new leader are all of them.
 	maxStepEvidence = 2.5
 	// badThreshold is the evidence from which on the version counts as bad, and
 	// doubtThreshold the evidence from which on the rollout does not advance. Both are
@@ -82,6 +83,7 @@
 func (e *evidence) step(t tally) {
 	oldBad, oldTotal := increase(e.last.oldBad, t.oldBad), increase(e.last.oldTotal, t.oldTotal)
 	bad, total := increase(e.last.updatedBad, t.updatedBad), increase(e.last.updatedTotal, t.updatedTotal)
+	first := e.last == (tally{})
 	e.last = t
 	keep := max(0, 1-oldTotal/oldWindow)
 	e.oldBad = e.oldBad*keep + oldBad
@@ -92,7 +94,11 @@
 	}
 	good = min(good, 0.5)
 	e.sum = weight(float64(t.updatedBad), float64(t.updatedTotal), good)
-	e.recent = max(0, e.recent+min(weight(bad, total, good), maxStepEvidence))
+	gain := weight(bad, total, good)
+	if !first {
+		gain = min(gain, maxStepEvidence)
+	}
+	e.recent = max(0, e.recent+gain)
 }
 
 // weight returns the logarithm of the likelihood ratio of a bad version to a good one, of
--- a/core/process/rollout/run.go
+++ b/core/process/rollout/run.go
@@ -15,18 +15,21 @@
 	// between minReserve and maxReserve: about 1.5 s without a fault, and 2 s more if the
 	// leader changes meanwhile.
 	reserveFraction = 0.3
-	minReserve      = 3 * time.Second
+	minReserve      = 3300 * time.Millisecond
 	maxReserve      = 4500 * time.Millisecond
 	// latestShift is the time before the deadline after which no traffic begins to move.
-	latestShift = 1400 * time.Millisecond
-	// hurry is the time before the deadline after which the stage Shift is left out, and
-	// the stage Full takes no longer than the VMs need to confirm it.
-	hurry = 2200 * time.Millisecond
+	latestShift = 900 * time.Millisecond
+	// hurryShift and hurryFull are the times before the deadline after which the stages
+	// Shift and Full take no longer than the VMs need to confirm them.
+	hurryShift = 2 * time.Second
+	hurryFull  = 1300 * time.Millisecond
 	// giveUp is the time before the deadline at which a rollout that is not finished is
 	// rolled back, so that this is committed before the deadline.
-	giveUp = 600 * time.Millisecond
-	// stageTime is the least time in the stages Shift and Full.
-	stageTime = 500 * time.Millisecond
+	giveUp = 500 * time.Millisecond
+	// stageTime is the least time in the stages Shift and Full, and closedTime that in the
+	// stage Closed, in which a fault under full load shows.
+	stageTime  = 500 * time.Millisecond
+	closedTime = 300 * time.Millisecond
 	// confirmationAge is the longest time since the grants were made that a VM has
 	// confirmed by its latest report.
 	confirmationAge = 700 * time.Millisecond
@@ -70,16 +73,19 @@
 	statedAt    bootclock.Time
 	vms         map[string]*vmState
 	// retired holds the counts of runs of VMs that have ended.
-	retired       map[string]*RouteCounts
-	retiredAll    uint64
-	retiredSent   uint64
-	judge         judge
-	judgedAt      bootclock.Time
-	ready         bool
-	stage         Stage
-	stageSince    bootclock.Time
-	stageRequests uint64
-	stageSent     uint64
+	retired     map[string]*RouteCounts
+	retiredAll  uint64
+	retiredSent uint64
+	judge       judge
+	judgedAt    bootclock.Time
+	ready       bool
+	stage       Stage
+	stageSince  bootclock.Time
+	// movedSince is when all VMs had confirmed the stage Full, zero before. The counts are
+	// those of that time.
+	movedSince    bootclock.Time
+	movedRequests uint64
+	movedSent     uint64
 	// outcome is what was decided, 0 while nothing is.
 	outcome DecisionKind
 	reason  string
@@ -166,13 +172,18 @@
 }
 
 // totals returns the requests of all VMs since the order, and those that were sent to the
-// new version or may be without a further grant.
-func (r *run) totals() (all, sent, charged uint64) {
+// new version or may be without a further grant. The grants of VMs that are out of touch
+// have expired.
+func (r *run) totals(now bootclock.Time) (all, sent, charged uint64) {
 	all, sent, charged = r.retiredAll, r.retiredSent, r.retiredSent
 	for _, v := range r.vms {
 		all += v.report.requests
 		sent += v.report.sent
-		charged += max(v.charged, v.report.sent)
+		if now.Sub(v.at) < forgetTime {
+			charged += max(v.charged, v.report.sent)
+		} else {
+			charged += v.report.sent
+		}
 	}
 	return all, sent, charged
 }
--- a/core/process/rollout/simulation_test.go
+++ b/core/process/rollout/simulation_test.go
@@ -54,7 +54,7 @@
 	endedAt        time.Duration
 	recent         []int
 	lostAtEnd      int
-	sentUntouched  time.Duration
+	untouched      time.Duration
 	reason         string
 }
 
@@ -70,13 +70,15 @@
 	cutAt   time.Duration
 	offset  int
 	present bool
+	// known is what the VM knows of the rollout.
+	known rollout.Record
 }
 
 func newSimulation(seed uint64, vms int, rate float64, duration time.Duration, version behaviour) *simulation {
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 7)), rate: rate, version: version, events: make(map[int][]func()), ticks: 1}
 	s.record = rollout.NewRecord("s", []string{"v1"}).Started(1, "v2", duration)
 	for range 3 {
-		c := rollout.NewController(rollout.DefaultBounds())
+		c := rollout.NewController(rollout.DefaultBounds(), s.random)
 		c.Observe([]rollout.Record{s.record}, s.now())
 		s.controls = append(s.controls, c)
 	}
@@ -99,6 +101,7 @@
 // start starts a VM, which takes its rollout from the log.
 func (s *simulation) start(v *simulatedVM) {
 	v.starts++
+	v.known = s.record
 	v.gate = rollout.NewGate(s.record, s.random.Float64(), func(route string) time.Duration {
 		return map[string]time.Duration{"0": 11 * time.Millisecond, "1": 31 * time.Millisecond, "2": 51 * time.Millisecond}[route]
 	})
@@ -176,8 +179,12 @@
 				return
 			}
 			v.latest = rollout.Confirmation{Term: term, Number: number}
+			changed := false
 			for _, g := range grants {
-				v.gate.Take(g, v.sentAt[answered].Add(rollout.DefaultBounds().GrantTTL()))
+				changed = v.gate.Take(g, v.sentAt[answered].Add(rollout.DefaultBounds().GrantTTL(g.Stage()))) || changed
+			}
+			if changed {
+				s.report(v)
 			}
 		})
 	}
@@ -195,6 +202,9 @@
 		s.record = s.record.Ended(d.Kind() == rollout.Succeed)
 		s.endedAt = s.since()
 		for _, v := range s.vms {
+			if !v.cut {
+				s.after(delayTicks, func() { v.known = s.record })
+			}
 			if !v.cut && d.Kind() == rollout.Succeed {
 				s.lostAtEnd += v.inOld
 			}
@@ -203,7 +213,7 @@
 }
 
 func (s *simulation) report(v *simulatedVM) {
-	if v.cut || s.record.State() != rollout.Running {
+	if v.cut || v.known.State() != rollout.Running {
 		return
 	}
 	var running rollout.InFlight
@@ -237,8 +247,8 @@
 	case n < 0.4:
 		route = 1
 	}
-	running := s.record.State() == rollout.Running
-	updated := s.record.State() == rollout.Succeeded
+	running := v.known.State() == rollout.Running
+	updated := v.known.State() == rollout.Succeeded
 	if running {
 		updated = v.gate.NextMayBeNew(s.now())
 		v.gate.CountRequest(updated)
@@ -249,8 +259,8 @@
 		s.all++
 	}
 	if updated {
-		if v.cut && s.since()-v.cutAt > s.sentUntouched {
-			s.sentUntouched = s.since() - v.cutAt
+		if v.cut && s.since()-v.cutAt > s.untouched {
+			s.untouched = s.since() - v.cutAt
 		}
 		s.recent = append(s.recent, s.ticks)
 		for len(s.recent) > 0 && s.recent[0] < s.ticks-100 {
--- a/core/process/rollout/step.go
+++ b/core/process/rollout/step.go
@@ -49,7 +49,7 @@
 func (r *run) enter(s Stage, now bootclock.Time) {
 	r.stage = s
 	r.stageSince = now
-	r.stageRequests, r.stageSent, _ = r.totals()
+	r.movedSince = 0
 }
 
 // advance moves the rollout to the next stage, or ends it, if that is due.
@@ -60,18 +60,19 @@
 	}
 	remaining := r.remaining(now)
 	switch r.stage {
-	case Hold:
-		r.enter(Test, now)
-		r.allot(c, now)
-	case Test:
+	case Hold, Test:
+		if r.stage == Hold {
+			r.enter(Test, now)
+		}
 		r.allot(c, now)
 		r.leaveTest(remaining, now)
 	case Shift:
-		if r.mayAdvance(vms, now) {
+		if r.mayAdvance(vms, remaining <= hurryShift, now) {
 			r.enter(Full, now)
 		}
 	case Full:
-		if r.mayAdvance(vms, now) && r.moved() {
+		hurry := remaining <= hurryFull
+		if r.mayAdvance(vms, hurry, now) && (hurry || r.moved(now)) {
 			r.enter(Closed, now)
 		}
 	case Closed:
@@ -90,36 +91,37 @@
 	case remaining <= latestShift:
 		r.rollBack("too few good responses", now)
 	case remaining > r.reserve() || !r.judge.good(late):
-	case remaining <= hurry:
+	case remaining <= hurryShift:
 		r.enter(Full, now)
 	default:
 		r.enter(Shift, now)
 	}
 }
 
-// mayAdvance reports whether the stages Shift and Full have lasted long enough without
-// doubt about the version.
-func (r *run) mayAdvance(vms []string, now bootclock.Time) bool {
-	if r.judge.doubtful() {
-		return false
-	}
-	if now.Sub(r.stageSince) < stageTime && r.remaining(now) > hurry {
+// mayAdvance reports whether the stage Shift or Full has lasted long enough without doubt
+// about the version. In a hurry it lasts no longer than the VMs need to confirm it.
+func (r *run) mayAdvance(vms []string, hurry bool, now bootclock.Time) bool {
+	if r.judge.doubtful() || now.Sub(r.stageSince) < stageTime && !hurry {
 		return false
 	}
 	return r.confirmed(vms, now, func(Report) bool { return true })
 }
 
-// moved reports whether the targets of the new version take nearly all requests.
-func (r *run) moved() bool {
-	all, sent, _ := r.totals()
-	return float64(sent-min(sent, r.stageSent)) >= fullShare*float64(all-min(all, r.stageRequests))-1
+// moved reports whether the targets of the new version take nearly all requests since all
+// VMs have confirmed the stage Full, at least judgeInterval ago.
+func (r *run) moved(now bootclock.Time) bool {
+	all, sent, _ := r.totals(now)
+	if r.movedSince == 0 {
+		r.movedSince, r.movedRequests, r.movedSent = now, all, sent
+	}
+	return now.Sub(r.movedSince) >= judgeInterval && increase(r.movedSent, sent) >= fullShare*increase(r.movedRequests, all)-1
 }
 
 // mayFinish reports whether nothing is at the old versions any more. Attempts there that
 // have not ended shortly before the deadline belong to requests that were answered by
 // others.
 func (r *run) mayFinish(vms []string, now bootclock.Time) bool {
-	if r.stage != Closed || r.remaining(now) <= 0 || r.judge.doubtful() {
+	if r.stage != Closed || r.remaining(now) <= 0 || r.judge.doubtful() || now.Sub(r.stageSince) < closedTime {
 		return false
 	}
 	if r.confirmed(vms, now, func(p Report) bool { return p.running.old == 0 }) {
