--- a/core/process/rollout/counts.go
+++ b/core/process/rollout/counts.go
@@ -137,5 +137,8 @@
 // the new version.
 func (r Report) Requests() (all, sent uint64) { return r.requests, r.sent }
 
+// OldInFlight returns the number of attempts at the old versions that have not ended.
+func (r Report) OldInFlight() uint64 { return r.running.old }
+
 // Stage returns the stage that is in force at the VM.
 func (r Report) Stage() Stage { return r.stage }
--- a/core/process/rollout/gate.go
+++ b/core/process/rollout/gate.go
@@ -44,7 +44,7 @@
 }
 
 // shiftShare is the share of the requests that go to the new version in the stage Shift.
-const shiftShare = 0.35
+const shiftShare = 0.25
 
 // Grant is what the leader allows one run of an entry VM. The allowance is the number of
 // requests that the VM may have sent to the new version since the order; it is used in the
@@ -56,6 +56,11 @@
 	allowance uint64
 }
 
+// NewGrant returns a grant.
+func NewGrant(service string, order uint64, stage Stage, allowance uint64) Grant {
+	return Grant{service: service, order: order, stage: stage, allowance: allowance}
+}
+
 // Service returns the name of the service.
 func (g Grant) Service() string { return g.service }
 
@@ -133,11 +138,12 @@
 // CountRequest counts a request for the service, which goes to the new version or not.
 func (g *Gate) CountRequest(updated bool) {
 	g.requests++
-	g.owed = min(g.owed+shiftShare, 1)
+	g.owed += shiftShare
 	if updated {
 		g.sent++
-		g.owed = max(g.owed-1, 0)
+		g.owed--
 	}
+	g.owed = min(max(g.owed, 0), 1)
 }
 
 // CountExtra counts a retry or hedge at the new version.
