cluster: peers with an earlier program get no versions and no rollouts

The platform's list has named versions before, so that a list with them would have closed the sessions of entry VMs of the earlier version during an upgrade. The start id of a process now shows that it understands them.

--- a/core/process/cluster/calls.go
+++ b/core/process/cluster/calls.go
@@ -187,6 +187,8 @@
 	cluster *Cluster
 	session *session.Session
 	number  uint64
+	// understandsRollouts is false if the caller runs an earlier version of the program.
+	understandsRollouts bool
 }
 
 // run executes the read and sends the reply.
@@ -207,6 +209,9 @@
 		f.cluster.log.Info("forwarded read failed", logsink.Cause(err))
 		return nil
 	}
+	if !f.understandsRollouts {
+		routes = routes.WithRollouts(nil)
+	}
 	enc := frame.NewEncoder()
 	replica.EncodeRoutes(enc, routes)
 	return enc.Payload()
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -58,7 +58,7 @@
 // the first start of the whole installation, when the seeds bootstrap the
 // replicated log.
 func NewIdentity(vm, address, dataCentre, startID string, firstStart bool) Identity {
-	return Identity{vm: vm, address: address, dataCentre: dataCentre, startID: startID, firstStart: firstStart}
+	return Identity{vm: vm, address: address, dataCentre: dataCentre, startID: peer.MarkStartID(startID), firstStart: firstStart}
 }
 
 // peerState is the state of the VM at the other end of a session. It is guarded
--- a/core/process/cluster/loops.go
+++ b/core/process/cluster/loops.go
@@ -6,7 +6,6 @@
 	"sort"
 	"time"
 
-	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/connection/session"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
@@ -81,11 +80,11 @@
 func (c *Cluster) publishRoutes() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	payload := peer.Encode(peer.NewPublishedRoutes(c.routes))
+	payloads := encodeRoutes(c.routes)
 	for s, r := range c.sessions {
 		// Other control VMs receive the routes through the log.
 		if r.identified && r.presence.Address() == "" && r.presence.Revision() < c.routes.Revision() {
-			s.Send(payload)
+			s.Send(payloads.forPeer(r))
 		}
 	}
 }
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -62,7 +62,7 @@
 	case peer.ForwardedCommand:
 		go (&forwardedCommand{cluster: c, session: s, message: m}).run()
 	case peer.ReadRoutes:
-		go (&forwardedRead{cluster: c, session: s, number: m.Number()}).run()
+		go (&forwardedRead{cluster: c, session: s, number: m.Number(), understandsRollouts: c.understandsRollouts(s)}).run()
 	case peer.Reply:
 		c.calls.Resolve(m)
 	case peer.Hello, peer.Heartbeat, peer.ConfigurationPush, peer.TargetUpdates:
@@ -146,7 +146,7 @@
 	}
 	if r.presence.Revision() < c.routes.Revision() {
 		if firstPresence || r.missingRevision == c.routes.Revision() {
-			s.Send(peer.Encode(peer.NewPublishedRoutes(c.routes)))
+			s.Send(encodeRoutes(c.routes).forPeer(r))
 			r.missingRevision = 0
 		} else {
 			r.missingRevision = c.routes.Revision()
@@ -166,7 +166,11 @@
 	if r.sentOnce && difference.Empty() {
 		return true
 	}
-	sent := s.Send(peer.Encode(peer.NewTargetList(!r.sentOnce, c.list.SequenceNumber(), now.Sub(c.list.ReadAt()), difference)))
+	m := peer.NewTargetList(!r.sentOnce, c.list.SequenceNumber(), now.Sub(c.list.ReadAt()), difference)
+	if !r.presence.UnderstandsRollouts() {
+		m = m.WithoutVersions()
+	}
+	sent := s.Send(peer.Encode(m))
 	if sent {
 		r.sentList = c.list
 		r.sentOnce = true
--- a/core/process/cluster/rollout.go
+++ b/core/process/cluster/rollout.go
@@ -100,6 +100,9 @@
 // it adds what only the leader knows.
 func (c *Cluster) propose(ctx context.Context, command replica.Command) (replica.Outcome, error) {
 	if order, ok := command.(replica.StartRollout); ok {
+		if !c.controlVMsUnderstandRollouts(time.Now()) {
+			return nil, result.New(result.NoQuorum, "a control VM runs an earlier version of the program")
+		}
 		listed := c.listedVersions()[order.Service()]
 		c.rollouts.mu.Lock()
 		renewed := c.rollouts.controller != nil && c.rollouts.controller.MayRepeat(order.Service(), bootclock.Now())
@@ -109,6 +112,47 @@
 	return c.control.Propose(ctx, command)
 }
 
+// controlVMsUnderstandRollouts reports whether no control VM from which messages arrive runs
+// a version of the program that can't apply commands about rollouts.
+func (c *Cluster) controlVMsUnderstandRollouts(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.sessions {
+		if r.alive(now) && r.presence.Address() != "" && !r.presence.UnderstandsRollouts() {
+			return false
+		}
+	}
+	return true
+}
+
+// understandsRollouts reports whether the peer of a session understands rollouts.
+func (c *Cluster) understandsRollouts(s *session.Session) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.sessions[s]
+	return r != nil && r.presence.UnderstandsRollouts()
+}
+
+// routesPayloads holds encoded routes for peers that understand rollouts and for others.
+type routesPayloads struct{ full, withoutRollouts []byte }
+
+func encodeRoutes(routes replica.Routes) routesPayloads {
+	p := routesPayloads{full: peer.Encode(peer.NewPublishedRoutes(routes))}
+	p.withoutRollouts = p.full
+	if len(routes.Rollouts()) > 0 {
+		p.withoutRollouts = peer.Encode(peer.NewPublishedRoutes(routes.WithRollouts(nil)))
+	}
+	return p
+}
+
+// forPeer returns the payload that a peer understands.
+func (p routesPayloads) forPeer(r *peerState) []byte {
+	if r.presence.UnderstandsRollouts() {
+		return p.full
+	}
+	return p.withoutRollouts
+}
+
 // listedVersions returns the versions of the targets in the list by service.
 func (c *Cluster) listedVersions() map[string][]string {
 	c.mu.Lock()
@@ -164,7 +208,9 @@
 	for _, d := range decisions {
 		c.proposeDecision(ctx, d)
 	}
-	c.recordVersions(ctx, status)
+	if c.controlVMsUnderstandRollouts(now) {
+		c.recordVersions(ctx, status)
+	}
 }
 
 // logStages logs the rollouts whose stage has changed. The caller holds rollouts.mu.
--- a/core/process/cluster/rolloutreport.go
+++ b/core/process/cluster/rolloutreport.go
@@ -90,8 +90,8 @@
 	if _, open := c.sessions[only]; !open {
 		only = nil
 	}
-	for s := range c.sessions {
-		if only == nil || s == only {
+	for s, r := range c.sessions {
+		if r.presence.UnderstandsRollouts() && (only == nil || s == only) {
 			s.Send(payload)
 		}
 	}
--- a/mulberrydale/routes/rollout_test.go
+++ b/mulberrydale/routes/rollout_test.go
@@ -157,9 +157,9 @@
 }
 
 // order orders a rollout at any control VM.
-func (d *rolloutDeployment) order(version string, status int) {
+func (d *rolloutDeployment) order(version string, duration time.Duration, status int) {
 	d.t.Helper()
-	d.anyControl("PUT", fmt.Sprintf(`{"version": %q, "duration-ms": 9000}`, version), status)
+	d.anyControl("PUT", fmt.Sprintf(`{"version": %q, "duration-ms": %d}`, version, duration.Milliseconds()), status)
 }
 
 // anyControl repeats an operators' call about the service at each control VM in turn until
@@ -207,6 +207,20 @@
 	d.control[n] = startProcess(d.t, d.settings[n])
 }
 
+// restartAll kills all control VMs and starts them again.
+func (d *rolloutDeployment) restartAll() {
+	for n := range d.control {
+		assert.NilError(d.t, d.control[n].Process.Kill())
+		_ = d.control[n].Wait()
+	}
+	for n := range d.control {
+		d.control[n] = startProcess(d.t, d.settings[n])
+	}
+}
+
+// promoteIn is the duration of the rollout that succeeds.
+const promoteIn = 12 * time.Second
+
 // Guards, with processes, against a version that gets requests without an order, a good
 // version that is not promoted, a bad one that is, requests lost when the old targets stop,
 // and an order or state that does not survive the loss of all control VMs.
@@ -220,32 +234,39 @@
 	time.Sleep(2500 * time.Millisecond)
 	assert.Equal(t, d.targets.count("v2"), 0, "requests without an order")
 
-	d.order("v2", 200)
-	d.order("v2", 200)
-	d.order("v3", 409)
+	ordered := time.Now()
+	d.order("v2", promoteIn, 200)
+	d.order("v2", promoteIn, 200)
+	d.order("v3", promoteIn, 409)
 	assert.Equal(t, d.state(), "running")
-	for n := range 3 {
-		d.restartControl(n)
-	}
-	d.order("v2", 200)
+	d.restartAll()
+	d.order("v2", promoteIn, 200)
 	assert.Equal(t, d.state(), "running")
+	// A new configuration and a data centre out of service change nothing for a rollout.
+	waitForStatus(t, 200, "PUT", d.operators[1]+"/routes", "", strings.Replace(rolloutDocument, `"version": 1`, `"version": 2`, 1))
+	waitForStatus(t, 200, "PUT", d.operators[1]+"/data-centres/oulu-9/out", "", "")
+	// One control VM is lost while traffic moves.
+	time.Sleep(promoteIn*3/4 - time.Since(ordered))
+	d.restartControl(0)
 	assert.Equal(t, d.end(), "succeeded")
+	assert.Assert(t, time.Since(ordered) < promoteIn+time.Second)
 	// The targets of the old version stop at once.
 	d.targets.servers["v1-a"].Close()
 	d.targets.servers["v1-b"].Close()
 	d.targets.list("v2")
 	time.Sleep(time.Second)
-	for n := range 3 {
-		d.restartControl(n)
-	}
+	d.restartAll()
 	assert.Equal(t, d.state(), "succeeded")
 
 	d.targets.list("v2", "v3")
 	d.targets.mu.Lock()
 	d.targets.failing["v3"] = true
 	d.targets.mu.Unlock()
-	d.order("v3", 200)
+	d.order("v3", 9*time.Second, 200)
 	assert.Equal(t, d.end(), "rolled-back")
+	d.restartAll()
+	d.order("v3", 9*time.Second, 200)
+	assert.Equal(t, d.state(), "rolled-back")
 	sent := d.targets.count("v3")
 	assert.Assert(t, sent > 0 && sent <= 50, "%d requests to a version that always fails", sent)
 	time.Sleep(500 * time.Millisecond)
