--- a/mulberrydale/routes/document_test.go
+++ b/mulberrydale/routes/document_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrydale/mulberrydale/core/process/rollout"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
@@ -89,6 +90,10 @@
 	assert.Equal(t, s.Voters(), 5)
 	assert.Equal(t, s.GracePeriod(), 6*time.Second)
 	assert.Equal(t, s.FirstStart(), true)
+	assert.Equal(t, s.Rollouts(), rollout.DefaultBounds())
+	s, err = DecodeSettings([]byte(strings.Replace(validSettings, `"vm": "vm-1",`, `"vm": "vm-1", "rollouts": {"exposure-share": 0.2, "exposure-slack": 7, "rollback-ms": 4000},`, 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Rollouts(), rollout.NewBounds(0.2, 7, 4*time.Second, true))
 }
 
 func TestDecodeSettingsRejectsInvalidSettings(t *testing.T) {
@@ -101,6 +106,7 @@
 		{"a seed with a host name", `["127.0.0.1:7001"]`, `["vm-2:7001"]`, result.BadAddress},
 		{"a control VM without a data folder", `"data-folder": "/var/lib/mulberrydale",`, ``, result.MissingKey},
 		{"no address of the target list", `"targets-address": "127.0.0.1:9900",`, ``, result.MissingKey},
+		{"a bound of rollouts that is unknown", `"vm": "vm-1",`, `"vm": "vm-1", "rollouts": {"share": 0.2},`, result.UnknownKey},
 		{"an unknown key", `"losses"`, `"loses"`, result.UnknownKey},
 		{"neither callers nor operators", validSettings, `{"vm": "a", "data-centre": "b", "seeds": [], "targets-address": "127.0.0.1:1"}`, result.MissingKey},
 	}
@@ -113,7 +119,7 @@
 }
 
 func TestDecodeTargetsSkipsInvalidEntries(t *testing.T) {
-	good := `{"id": "i-1", "service": "s-1", "address": "127.0.0.1:80", "data-centre": "oulu-1", "slots": 2, "cold-ms": 1500}`
+	good := `{"id": "i-1", "service": "s-1", "address": "127.0.0.1:80", "data-centre": "oulu-1", "slots": 2, "cold-ms": 1500, "version": "v1"}`
 	deep := strings.Replace(good, `"slots": 2`, `"slots": `+strings.Repeat("[", 4<<20)+strings.Repeat("]", 4<<20), 1)
 	for _, bad := range []string{`{}`, `3`, deep, strings.Replace(good, ":80", ":65536", 1), strings.Replace(good, "1500", "1e999", 1), strings.Replace(good, "oulu-1", "oulu\x01", 1), strings.Replace(good, "127.0.0.1:80", "leaf-1:80", 1), strings.Replace(good, `"slots": 2`, `"slots": "two"`, 1), strings.Replace(good, `"id": "i-1"`, `"id": "i-1", "id": "i-2"`, 1)} {
 		targets, invalid, err := decodeTargets([]byte(`{"targets": [` + good + `,` + bad + `]}`))
@@ -121,6 +127,7 @@
 		assert.Equal(t, invalid, 1, bad)
 		assert.Equal(t, len(targets), 1, bad)
 		assert.Equal(t, targets[0].ColdFor(), 1500*time.Millisecond)
+		assert.Equal(t, targets[0].Version(), "v1")
 	}
 	for _, text := range []string{``, `{`, `{"targets": 3}`, `{"targets": [], "targets": []}`, `{"targets": [` + good} {
 		_, _, err := decodeTargets([]byte(text))
