cluster: reports and grants pass through any control VM

A VM whose link to the leader alone is lost is in touch; it would have sent to old targets until the new routes arrived by the presences. All control VMs now push routes in which rollouts differ.

--- a/core/connection/peer/rollout.go
+++ b/core/connection/peer/rollout.go
@@ -14,6 +14,10 @@
 	// confirmation names the latest grants that the VM had.
 	confirmation rollout.Confirmation
 	reports      []rollout.Report
+	// unheard is set if the VM hears no leader, so that control VMs pass the message on.
+	// vm is the name of the VM if another one passes the message on, otherwise empty.
+	unheard bool
+	vm      string
 }
 
 // NewRolloutReports returns a message with the reports of the run of an entry VM that the
@@ -22,6 +26,25 @@
 	return RolloutReports{startID: startID, number: number, confirmation: confirmation, reports: reports}
 }
 
+// WithUnheard returns the message of a VM that hears no leader, or does.
+func (r RolloutReports) WithUnheard(unheard bool) RolloutReports {
+	r.unheard = unheard
+	return r
+}
+
+// PassedOn returns the message of a VM as another one passes it on to the leader.
+func (r RolloutReports) PassedOn(vm string) RolloutReports {
+	r.vm = vm
+	return r
+}
+
+// Unheard reports whether the VM hears no leader.
+func (r RolloutReports) Unheard() bool { return r.unheard }
+
+// VM returns the name of the VM if another one has passed the message on, otherwise the
+// empty string.
+func (r RolloutReports) VM() string { return r.vm }
+
 // StartID returns the id of the run of the sending process.
 func (r RolloutReports) StartID() string { return r.startID }
 
@@ -43,6 +66,8 @@
 	// answers is the number of the reports that the grants answer.
 	answers uint64
 	grants  []rollout.Grant
+	// vm is the name of the VM to which the receiver passes the message on, or empty.
+	vm string
 }
 
 // NewRolloutGrants returns a message of the leader of a term for the run of an entry VM
@@ -52,6 +77,16 @@
 	return RolloutGrants{startID: startID, term: term, number: number, answers: answers, grants: grants}
 }
 
+// Through returns the message as another VM passes it on to the named one.
+func (g RolloutGrants) Through(vm string) RolloutGrants {
+	g.vm = vm
+	return g
+}
+
+// VM returns the name of the VM to which the receiver passes the message on, or the empty
+// string.
+func (g RolloutGrants) VM() string { return g.vm }
+
 // StartID returns the id of the run of the process that the grants are for.
 func (g RolloutGrants) StartID() string { return g.startID }
 
@@ -75,6 +110,8 @@
 	enc.Uint(r.number)
 	enc.Uint(r.confirmation.Term)
 	enc.Uint(r.confirmation.Number)
+	enc.Bool(r.unheard)
+	enc.String(r.vm)
 	enc.Uint(uint64(len(r.reports)))
 	for _, report := range r.reports {
 		rollout.EncodeReport(enc, report)
@@ -82,7 +119,7 @@
 }
 
 func decodeRolloutReports(dec *frame.Decoder) RolloutReports {
-	r := RolloutReports{startID: dec.String(), number: dec.Uint(), confirmation: rollout.Confirmation{Term: dec.Uint(), Number: dec.Uint()}}
+	r := RolloutReports{startID: dec.String(), number: dec.Uint(), confirmation: rollout.Confirmation{Term: dec.Uint(), Number: dec.Uint()}, unheard: dec.Bool(), vm: dec.String()}
 	for range dec.Len() {
 		r.reports = append(r.reports, rollout.DecodeReport(dec))
 	}
@@ -94,6 +131,7 @@
 	enc.Uint(g.term)
 	enc.Uint(g.number)
 	enc.Uint(g.answers)
+	enc.String(g.vm)
 	enc.Uint(uint64(len(g.grants)))
 	for _, grant := range g.grants {
 		rollout.EncodeGrant(enc, grant)
@@ -101,7 +139,7 @@
 }
 
 func decodeRolloutGrants(dec *frame.Decoder) RolloutGrants {
-	g := RolloutGrants{startID: dec.String(), term: dec.Uint(), number: dec.Uint(), answers: dec.Uint()}
+	g := RolloutGrants{startID: dec.String(), term: dec.Uint(), number: dec.Uint(), answers: dec.Uint(), vm: dec.String()}
 	for range dec.Len() {
 		g.grants = append(g.grants, rollout.DecodeGrant(dec))
 	}
--- a/core/connection/peer/rollout_test.go
+++ b/core/connection/peer/rollout_test.go
@@ -22,8 +22,8 @@
 // Guards against messages about rollouts that other processes decode differently.
 func TestRolloutMessagesRoundTrip(t *testing.T) {
 	for _, m := range []peer.Message{
-		peer.NewRolloutReports("start", 4, rollout.Confirmation{Term: 2, Number: 3}, []rollout.Report{newReport()}),
-		peer.NewRolloutGrants("start", 2, 3, 4, []rollout.Grant{rollout.NewGrant("s", 5, rollout.Closed, 6)}),
+		peer.NewRolloutReports("start", 4, rollout.Confirmation{Term: 2, Number: 3}, []rollout.Report{newReport()}).WithUnheard(true).PassedOn("entry-1"),
+		peer.NewRolloutGrants("start", 2, 3, 4, []rollout.Grant{rollout.NewGrant("s", 5, rollout.Closed, 6)}).Through("entry-1"),
 	} {
 		payload := peer.Encode(m)
 		decoded, err := peer.Decode(payload)
--- a/core/process/cluster/loops.go
+++ b/core/process/cluster/loops.go
@@ -57,7 +57,9 @@
 
 // publishLoop adopts the latest routes that the log has accepted whenever they
 // change, once the replica has caught up: those of its last snapshot may have been
-// replaced. On the leader it also sends them to the entry VMs at once.
+// replaced. The leader also sends them to the entry VMs at once, and so do all control VMs
+// if a rollout has begun or ended: an entry VM without a link to the leader must not go on
+// with targets that stop.
 type publishLoop struct{ cluster *Cluster }
 
 func (l *publishLoop) run(ctx context.Context) {
@@ -69,10 +71,13 @@
 			return
 		}
 		s := c.control.Status()
-		if !s.CaughtUp() || !c.adoptRoutes(s.Routes(), time.Now()) || !s.Leads() {
+		before := c.Routes()
+		if !s.CaughtUp() || !c.adoptRoutes(s.Routes(), time.Now()) {
 			continue
 		}
-		c.publishRoutes()
+		if s.Leads() || rolloutsDiffer(before, s.Routes()) {
+			c.publishRoutes()
+		}
 	}
 }
 
--- a/core/process/cluster/rollout.go
+++ b/core/process/cluster/rollout.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -28,6 +29,9 @@
 	// rolloutPeerTimeout is the time without a presence after which a rollout no longer
 	// waits for an entry VM, whose grants have expired by then.
 	rolloutPeerTimeout = 1500 * time.Millisecond
+	// relayAfter is the time without reports on a VM's own session after which its grants
+	// take the way on which its reports come.
+	relayAfter = 400 * time.Millisecond
 	// rolloutProposalTimeout bounds the wait for the outcome of a decision. A decision
 	// without one is proposed again.
 	rolloutProposalTimeout = time.Second
@@ -51,7 +55,11 @@
 // rolloutReporter is an entry VM that has sent reports.
 type rolloutReporter struct {
 	startID string
-	session *session.Session
+	// session is that on which its reports come: its own, or that of a control VM which
+	// passes them on if none came on its own for relayAfter. It is nil for this VM.
+	session  *session.Session
+	relayed  bool
+	directAt bootclock.Time
 	// number is that of its latest reports, and answered that of the latest ones that
 	// were answered with grants.
 	number, answered uint64
@@ -133,6 +141,11 @@
 	return r != nil && r.presence.UnderstandsRollouts()
 }
 
+// rolloutsDiffer reports whether the versions in use or the rollouts of two routes differ.
+func rolloutsDiffer(a, b replica.Routes) bool {
+	return !bytes.Equal(rollout.EncodeRecords(a.Rollouts()), rollout.EncodeRecords(b.Rollouts()))
+}
+
 // routesPayloads holds encoded routes for peers that understand rollouts and for others.
 type routesPayloads struct{ full, withoutRollouts []byte }
 
@@ -238,18 +251,23 @@
 	return out
 }
 
-// receiveRolloutReports passes the reports of an entry VM to the controller.
+// receiveRolloutReports passes the reports of an entry VM to the controller, and those of a
+// VM that hears no leader on to the leader: only the link between the two may be lost.
 func (c *Cluster) receiveRolloutReports(s *session.Session, m peer.RolloutReports, bootNow bootclock.Time) {
 	c.mu.Lock()
 	r := c.sessions[s]
 	identified := r != nil && r.identified
-	vm := ""
-	if identified {
+	vm := m.VM()
+	if identified && vm == "" {
 		vm = r.presence.VM()
 	}
 	c.mu.Unlock()
-	if identified && c.control != nil {
-		c.takeRolloutReports(vm, s, m, bootNow)
+	if !identified || c.control == nil {
+		return
+	}
+	c.takeRolloutReports(vm, s, m, bootNow)
+	if leader := c.control.Status().Leader(); m.Unheard() && m.VM() == "" && leader != "" && leader != c.self.address {
+		c.send(leader, m.PassedOn(vm))
 	}
 }
 
@@ -262,13 +280,20 @@
 		return
 	}
 	for _, report := range m.Reports() {
-		r.controller.TakeReport(vm, m.StartID(), report, m.Confirmation(), bootNow)
+		r.controller.TakeReport(vm, m.StartID(), m.Number(), report, m.Confirmation(), bootNow)
 	}
 	known := r.reporters[vm]
 	if known.startID != m.StartID() {
 		known = rolloutReporter{startID: m.StartID()}
 	}
-	known.session = s
+	relayed := m.VM() != ""
+	if !relayed {
+		known.directAt = bootNow
+	}
+	if !relayed || bootNow.Sub(known.directAt) >= relayAfter {
+		known.session = s
+		known.relayed = relayed
+	}
 	known.number = max(known.number, m.Number())
 	r.reporters[vm] = known
 }
@@ -285,9 +310,12 @@
 			continue
 		}
 		m := peer.NewRolloutGrants(known.startID, term, number, known.number, grants)
-		if known.session == nil {
+		switch {
+		case known.session == nil:
 			local = &m
-		} else {
+		case known.relayed:
+			known.session.Send(peer.Encode(m.Through(vm)))
+		default:
 			known.session.Send(peer.Encode(m))
 		}
 		known.answered = known.number
--- a/core/process/cluster/rollout_test.go
+++ b/core/process/cluster/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -124,3 +125,46 @@
 		}
 	}
 }
+
+// An entry VM that has a link to any control VM must get its grants, also if only the link to
+// the leader is lost: it would go on with old targets that stop.
+func TestGrantsReachVMsThroughAnyControlVM(t *testing.T) {
+	in := newInstallation(t, 3, 0)
+	in.publish("control-0", 1)
+	in.waitForVersion(1)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := in.processes["control-0"].cluster.StartRollout(ctx, replica.NewStartRollout("s", "v2", time.Minute))
+	assert.NilError(t, err)
+	for n := range 3 {
+		vm := fmt.Sprintf("entry-%d", n)
+		startID := peer.MarkStartID(vm)
+		conn, err := net.Dial("tcp", in.processes[fmt.Sprintf("control-%d", n)].address)
+		assert.NilError(t, err)
+		defer conn.Close()
+		assert.NilError(t, frame.Write(conn, peer.Encode(peer.NewPresence(vm, "", "dc-1", startID, 0))))
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		var gate *rollout.Gate
+		for number, granted := uint64(0), false; !granted; {
+			payload, err := frame.Read(conn)
+			assert.NilError(t, err, "no grants through %s", vm)
+			m, err := peer.Decode(payload)
+			assert.NilError(t, err)
+			switch m := m.(type) {
+			case peer.PublishedRoutes:
+				if r, ok := rollout.Find(m.Routes().Rollouts(), "s"); ok {
+					gate = rollout.NewGate(r, 0, func(string) time.Duration { return 0 })
+				}
+			case peer.RolloutGrants:
+				granted = true
+				assert.Equal(t, m.StartID(), startID)
+				assert.Assert(t, m.Answers() > 0 && m.Answers() <= number)
+			}
+			if gate != nil && !granted {
+				number++
+				reports := []rollout.Report{gate.Report(rollout.InFlight{}, true, 0)}
+				assert.NilError(t, frame.Write(conn, peer.Encode(peer.NewRolloutReports(startID, number, rollout.Confirmation{}, reports).WithUnheard(true))))
+			}
+		}
+	}
+}
--- a/core/process/cluster/rolloutreport.go
+++ b/core/process/cluster/rolloutreport.go
@@ -75,9 +75,10 @@
 			delete(state.sentAt, number)
 		}
 	}
-	m := peer.NewRolloutReports(c.self.startID, state.number, state.latest, reports)
+	unheard := bootNow.Sub(state.grantedAt) > leaderSilence
+	m := peer.NewRolloutReports(c.self.startID, state.number, state.latest, reports).WithUnheard(unheard)
 	only := state.session
-	if state.number%reportAllEvery == 0 || bootNow.Sub(state.grantedAt) > leaderSilence {
+	if state.number%reportAllEvery == 0 || unheard {
 		only = nil
 	}
 	r.mu.Unlock()
@@ -101,6 +102,10 @@
 // ones, or answer reports of another run of this VM or too old ones. A VM confirms another
 // stage at once. The session is nil if this VM is the leader.
 func (c *Cluster) receiveRolloutGrants(s *session.Session, m peer.RolloutGrants, now time.Time, bootNow bootclock.Time) {
+	if m.VM() != "" && c.control != nil {
+		c.passOn(m.VM(), m)
+		return
+	}
 	if c.rollouts.gate == nil || m.StartID() != c.self.startID {
 		return
 	}
@@ -111,8 +116,10 @@
 	older := m.Term() < state.latest.Term || m.Term() == state.latest.Term && m.Number() < state.latest.Number
 	if known && !older {
 		state.latest = rollout.Confirmation{Term: m.Term(), Number: m.Number()}
-		state.session = s
-		state.grantedAt = bootNow
+		if m.VM() == "" {
+			state.session = s
+			state.grantedAt = bootNow
+		}
 	}
 	r.mu.Unlock()
 	if !known || older {
@@ -130,3 +137,15 @@
 		c.sendRolloutReports(now, bootNow)
 	}
 }
+
+// passOn sends grants to an entry VM that has no link to the leader.
+func (c *Cluster) passOn(vm string, m peer.RolloutGrants) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	payload := peer.Encode(m)
+	for s, r := range c.sessions {
+		if r.identified && r.presence.VM() == vm && r.presence.Address() == "" {
+			s.Send(payload)
+		}
+	}
+}
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -197,9 +197,11 @@
 // is isolated: its readiness check fails, so that the load balancer sends
 // callers to VMs in other data centres.
 func (e *Entry) updateMembership(now time.Time) {
-	if n, known := e.cluster.EntryVMs(now); known {
+	n, known := e.cluster.EntryVMs(now)
+	if known {
 		e.fleet.SetEntryVMs(n, now)
 	}
+	e.fleet.SetOutOfTouch(!known)
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
 	e.gateway.telemetry.recordTargetChanges(e.fleet.TakeChanges())
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -77,6 +77,8 @@
 	// enforceVersions is set if only recorded versions are used, also of services
 	// without a rollout.
 	enforceVersions bool
+	// outOfTouch is set while no control VM can be reached.
+	outOfTouch bool
 	// bootNow returns the present time for grants of rollouts.
 	bootNow func() bootclock.Time
 }
@@ -245,6 +247,9 @@
 		}
 	}
 	f.listReadAt = list.ReadAt()
+	for _, g := range f.groups {
+		g.updateVersions()
+	}
 	f.grantAllWaiting(now)
 	return unusedAddresses
 }
--- a/core/process/placement/version.go
+++ b/core/process/placement/version.go
@@ -30,6 +30,9 @@
 	record rollout.Record
 	// gate is nil unless a rollout of the service is running.
 	gate *rollout.Gate
+	// noneListed is set if a rollout has succeeded and the list has no target of a version
+	// in use.
+	noneListed bool
 }
 
 // EnforceVersions makes the fleet use only targets of versions that the log has recorded,
@@ -47,6 +50,7 @@
 	for _, r := range records {
 		g := f.group(r.Service())
 		g.versions.record = r
+		g.updateVersions()
 		switch {
 		case r.State() != rollout.Running:
 			g.versions.gate = nil
@@ -65,12 +69,32 @@
 		return oldSide
 	case v.gate != nil && t.instance.Version() == v.gate.Version():
 		return newSide
-	case v.record.Uses(t.instance.Version()):
+	case v.record.Uses(t.instance.Version()) || v.noneListed && g.fleet.outOfTouch:
 		return oldSide
 	}
 	return noSide
 }
 
+// SetOutOfTouch sets whether no control VM can be reached. The rollout that replaced the
+// versions in use may then have succeeded without this VM knowing it: if the list has no
+// target of them any more, those that it has are used.
+func (f *Fleet) SetOutOfTouch(outOfTouch bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outOfTouch = outOfTouch
+}
+
+// updateVersions derives what depends on both the list and the versions in use. The caller
+// holds g.fleet.mu.
+func (g *group) updateVersions() {
+	g.versions.noneListed = g.versions.record.State() == rollout.Succeeded
+	for _, t := range g.targets {
+		if g.versions.record.Uses(t.instance.Version()) {
+			g.versions.noneListed = false
+		}
+	}
+}
+
 // admits reports whether the next request may go to a target as far as its version is
 // concerned. The caller holds f.mu.
 func (g *group) admits(t *Target) bool {
--- a/core/process/placement/version_test.go
+++ b/core/process/placement/version_test.go
@@ -82,6 +82,14 @@
 	assert.DeepEqual(t, sentTo(t, f, 50), map[string]int{"v2": 50})
 	f.SetTargets(newVersionList(3, "v1", "v3"), start)
 	assert.Equal(t, f.UsableTargets("s-1", start), 0, "no target of the version in use is left")
+	// A VM that can't reach the control VMs may have missed the rollout that replaced it.
+	f.SetOutOfTouch(true)
+	assert.Equal(t, f.UsableTargets("s-1", start), 4)
+	f.SetTargets(newVersionList(4, "v2", "v3"), start)
+	assert.Equal(t, f.UsableTargets("s-1", start), 2)
+	f.SetRollouts([]rollout.Record{runningRecord()}, start)
+	f.SetTargets(newVersionList(5, "v3"), start)
+	assert.Equal(t, f.UsableTargets("s-1", start), 0, "the old targets may have crashed")
 }
 
 // Guards against requests to the new version beyond the allowance, and in stages that allow
--- a/core/process/rollout/controller.go
+++ b/core/process/rollout/controller.go
@@ -112,7 +112,8 @@
 }
 
 // TakeReport takes a report of one run of an entry VM, which is identified by its start id.
-func (c *Controller) TakeReport(vm, startID string, r Report, confirmation Confirmation, now bootclock.Time) {
+// The sequence number increases with the reports of a run; older ones are ignored.
+func (c *Controller) TakeReport(vm, startID string, sequence uint64, r Report, confirmation Confirmation, now bootclock.Time) {
 	current := c.runs[r.service]
 	if current == nil || current.record.order != r.order {
 		return
@@ -123,7 +124,7 @@
 		number = confirmation.Number
 		confirmedAt = c.sentAt[number%numberMemory]
 	}
-	current.takeReport(vm, startID, r, number, confirmedAt, now)
+	current.takeReport(vm, startID, sequence, r, number, confirmedAt, now)
 }
 
 // DecisionKind says what the leader writes to the log.
--- a/core/process/rollout/run.go
+++ b/core/process/rollout/run.go
@@ -49,9 +49,10 @@
 
 // vmState is what the leader knows of one run of an entry VM.
 type vmState struct {
-	startID string
-	report  Report
-	at      bootclock.Time
+	startID  string
+	sequence uint64
+	report   Report
+	at       bootclock.Time
 	// confirmedAt is when the grants were made that the VM had at its latest report,
 	// zero if this leader made none of them.
 	confirmedAt bootclock.Time
@@ -126,8 +127,8 @@
 }
 
 // takeReport replaces the report of a VM. If the VM has restarted, the counts of the run
-// before are kept. Another report of a run that had ended is ignored with it.
-func (r *run) takeReport(vm, startID string, report Report, number uint64, confirmedAt, now bootclock.Time) {
+// before are kept.
+func (r *run) takeReport(vm, startID string, sequence uint64, report Report, number uint64, confirmedAt, now bootclock.Time) {
 	v := r.vms[vm]
 	if v == nil || v.startID != startID {
 		if v != nil {
@@ -136,10 +137,10 @@
 		v = &vmState{startID: startID, allowance: report.allowance, charged: report.allowance}
 		r.vms[vm] = v
 	}
-	if report.requests < v.report.requests {
-		// An older report that was overtaken on another session.
+	if sequence <= v.sequence {
 		return
 	}
+	v.sequence = sequence
 	if report.requests > v.report.requests {
 		v.activeAt = now
 	}
--- a/core/process/rollout/simulation_test.go
+++ b/core/process/rollout/simulation_test.go
@@ -225,7 +225,7 @@
 	r, id, confirmation, number := v.gate.Report(running, true, s.now()), fmt.Sprint(v.starts), v.latest, v.number
 	s.after(delayTicks, func() {
 		for _, c := range s.controls {
-			c.TakeReport(v.name, id, r, confirmation, s.now())
+			c.TakeReport(v.name, id, number, r, confirmation, s.now())
 		}
 		v.number = max(v.number, number)
 	})
--- a/core/process/rollout/unit_test.go
+++ b/core/process/rollout/unit_test.go
@@ -45,10 +45,10 @@
 	for range 100 {
 		g.CountRequest(false)
 	}
-	c.TakeReport("vm", "a", g.Report(rollout.InFlight{}, true, at), rollout.Confirmation{}, at)
+	c.TakeReport("vm", "a", 1, g.Report(rollout.InFlight{}, true, at), rollout.Confirmation{}, at)
 	later := at.Add(time.Second)
 	c.Observe([]rollout.Record{r}, later)
-	c.TakeReport("vm", "a", g.Report(rollout.InFlight{}, true, later), rollout.Confirmation{}, later)
+	c.TakeReport("vm", "a", 2, g.Report(rollout.InFlight{}, true, later), rollout.Confirmation{}, later)
 	c.Step([]string{"vm"}, true, later)
 	_, grants := c.Grants("vm", "a")
 	assert.Equal(t, len(grants), 1)
