--- a/core/process/cluster/rollout.go
+++ b/core/process/cluster/rollout.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"bytes"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -120,52 +119,6 @@
 	return c.control.Propose(ctx, command)
 }
 
-// controlVMsUnderstandRollouts reports whether no control VM from which messages arrive runs
-// a version of the program that can't apply commands about rollouts.
-func (c *Cluster) controlVMsUnderstandRollouts(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, r := range c.sessions {
-		if r.alive(now) && r.presence.Address() != "" && !r.presence.UnderstandsRollouts() {
-			return false
-		}
-	}
-	return true
-}
-
-// understandsRollouts reports whether the peer of a session understands rollouts.
-func (c *Cluster) understandsRollouts(s *session.Session) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := c.sessions[s]
-	return r != nil && r.presence.UnderstandsRollouts()
-}
-
-// rolloutsDiffer reports whether the versions in use or the rollouts of two routes differ.
-func rolloutsDiffer(a, b replica.Routes) bool {
-	return !bytes.Equal(rollout.EncodeRecords(a.Rollouts()), rollout.EncodeRecords(b.Rollouts()))
-}
-
-// routesPayloads holds encoded routes for peers that understand rollouts and for others.
-type routesPayloads struct{ full, withoutRollouts []byte }
-
-func encodeRoutes(routes replica.Routes) routesPayloads {
-	p := routesPayloads{full: peer.Encode(peer.NewPublishedRoutes(routes))}
-	p.withoutRollouts = p.full
-	if len(routes.Rollouts()) > 0 {
-		p.withoutRollouts = peer.Encode(peer.NewPublishedRoutes(routes.WithRollouts(nil)))
-	}
-	return p
-}
-
-// forPeer returns the payload that a peer understands.
-func (p routesPayloads) forPeer(r *peerState) []byte {
-	if r.presence.UnderstandsRollouts() {
-		return p.full
-	}
-	return p.withoutRollouts
-}
-
 // listedVersions returns the versions of the targets in the list by service.
 func (c *Cluster) listedVersions() map[string][]string {
 	c.mu.Lock()
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -34,6 +34,8 @@
 	// target version. gate is nil if no rollout ran when the lease was granted.
 	gate    *rollout.Gate
 	updated bool
+	// setupTime is the part of the response time that the rollout does not count.
+	setupTime time.Duration
 }
 
 // StreamingStarted records that a streamed response has begun. The time that
--- a/core/process/placement/version.go
+++ b/core/process/placement/version.go
@@ -12,6 +12,15 @@
 // response times counts as overdue for a rollout.
 const unknownOverdueAfter = 2 * time.Second
 
+const (
+	// connectionCost is the time that a target needs for a new connection, and
+	// connectionKept the time without a response of a target after which a request to it
+	// is assumed to open one. While a version is tested, nearly every request does, so
+	// that a good version would seem slow.
+	connectionCost = 6 * time.Millisecond
+	connectionKept = 7 * time.Second
+)
+
 // side says which part of a rollout a target belongs to.
 type side int
 
@@ -157,6 +166,7 @@
 	}
 	l.gate = gate
 	l.updated = g.sideOf(l.target) == newSide
+	l.setupTime = l.target.setupTime(l.sentAt)
 	switch {
 	case first:
 		gate.CountRequest(l.updated)
@@ -165,6 +175,19 @@
 	}
 }
 
+// setupTime returns the part of the response time of a request sent now that the network and
+// a new connection account for, and not the version of the target.
+func (t *Target) setupTime(now time.Time) time.Duration {
+	setup, network := time.Duration(0), time.Duration(0)
+	if t.instance.DataCentre() != t.group.fleet.ownCentre {
+		network = remoteCentreCost
+	}
+	if t.lastObservedAt.IsZero() || now.Sub(t.lastObservedAt) > connectionKept {
+		setup = connectionCost + network
+	}
+	return setup + network
+}
+
 // countFailure counts an attempt that failed for the rollout that ran when it was sent. The
 // caller holds l.fleet.mu.
 func (l *Lease) countFailure() {
@@ -177,7 +200,7 @@
 // caller holds l.fleet.mu.
 func (l *Lease) countResponse(responseTime time.Duration) {
 	if l.gate != nil {
-		l.gate.CountResponse(l.kind, l.updated, responseTime)
+		l.gate.CountResponse(l.kind, l.updated, max(0, responseTime-l.setupTime))
 	}
 }
 
--- a/core/process/placement/version_test.go
+++ b/core/process/placement/version_test.go
@@ -153,3 +153,21 @@
 	f.SetRollouts([]rollout.Record{runningRecord().Ended(true)}, start)
 	assert.Equal(t, len(f.RolloutReports(start)), 0)
 }
+
+// Guards against a good version that seems slow because its targets are in another data
+// centre or each request to them opens a connection.
+func TestNetworkTimeIsNoSignOfASlowVersion(t *testing.T) {
+	f := newTestFleet(newService())
+	f.SetRollouts([]rollout.Record{runningRecord()}, start)
+	remote := discovery.NewInstance("v2-0", "s-1", "10.0.1.0:80", "dc-2", 20).WithVersion("v2")
+	f.SetTargets(discovery.NewList([]discovery.Instance{remote}, 2, start), start)
+	f.TakeRolloutGrant(rollout.NewGrant("s-1", 5, rollout.Test, 9), bootclock.Now().Add(time.Hour), start)
+	for _, took := range []time.Duration{26 * time.Millisecond, 14 * time.Millisecond} {
+		l, ok := f.Acquire(placement.NewLeaseRequest("s-1", "k"), start)
+		assert.Assert(t, ok)
+		l.Succeeded(start.Add(took))
+	}
+	median, ok := f.RolloutReports(start)[0].MedianTime("k", true)
+	assert.Assert(t, ok)
+	assert.Assert(t, median >= 7*time.Millisecond && median <= 9*time.Millisecond, "%s", median)
+}
--- a/core/process/rollout/counts.go
+++ b/core/process/rollout/counts.go
@@ -137,6 +137,21 @@
 // the new version.
 func (r Report) Requests() (all, sent uint64) { return r.requests, r.sent }
 
+// MedianTime returns the median response time on a route of the new version or of the old
+// ones, or false if there was no response.
+func (r Report) MedianTime(route string, updated bool) (time.Duration, bool) {
+	for _, counts := range r.routes {
+		switch {
+		case counts.route != route:
+		case updated:
+			return counts.updated.median(1)
+		default:
+			return counts.old.median(1)
+		}
+	}
+	return 0, false
+}
+
 // OldInFlight returns the number of attempts at the old versions that have not ended.
 func (r Report) OldInFlight() uint64 { return r.running.old }
 
