--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -205,6 +205,7 @@
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
 	e.gateway.telemetry.recordTargetChanges(e.fleet.TakeChanges())
+	e.gateway.telemetry.recordRolloutRequests(e.fleet.TakeRolloutRequests())
 	isolated := len(unreachable) > 0 && !e.dispatcher.Servable(now)
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("target reachability changed", zap.Bool("isolated", isolated), zap.Strings("data-centres", unreachable))
--- a/core/process/gateway/telemetry.go
+++ b/core/process/gateway/telemetry.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// recordRolloutRequests counts requests for services of which a rollout was running.
+func (t *Telemetry) recordRolloutRequests(all, updated int64) {
+	if all > 0 {
+		t.scope.Counter("rollout-requests").Inc(all)
+		t.scope.Counter("rollout-requests-new-version").Inc(updated)
+	}
+}
+
 // recordAborted counts and logs a response that could not be completed after a
 // part of it had been written. recordAnswer has counted the same request before,
 // under the outcome of its answer.
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -79,6 +79,8 @@
 	enforceVersions bool
 	// outOfTouch is set while no control VM can be reached.
 	outOfTouch bool
+	// rolloutRequests and rolloutUpdated count what TakeRolloutRequests returns.
+	rolloutRequests, rolloutUpdated int64
 	// bootNow returns the present time for grants of rollouts.
 	bootNow func() bootclock.Time
 }
--- a/core/process/placement/version.go
+++ b/core/process/placement/version.go
@@ -170,6 +170,10 @@
 	switch {
 	case first:
 		gate.CountRequest(l.updated)
+		g.fleet.rolloutRequests++
+		if l.updated {
+			g.fleet.rolloutUpdated++
+		}
 	case l.updated:
 		gate.CountExtra()
 	}
@@ -236,6 +240,16 @@
 	return out
 }
 
+// TakeRolloutRequests returns the requests for services of which a rollout was running, and
+// those of them that went to the new version, since the last call.
+func (f *Fleet) TakeRolloutRequests() (all, updated int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all, updated = f.rolloutRequests, f.rolloutUpdated
+	f.rolloutRequests, f.rolloutUpdated = 0, 0
+	return all, updated
+}
+
 // TakeRolloutGrant applies a grant of the leader that is valid until a time. It reports
 // whether the grant has another stage than the one before.
 func (f *Fleet) TakeRolloutGrant(grant rollout.Grant, until bootclock.Time, now time.Time) bool {
