--- a/core/process/rollout/allot.go
+++ b/core/process/rollout/allot.go
@@ -32,7 +32,7 @@
 	doubtSlack = 10
 	// maxTestPart is the largest part of the requests that goes to the new version during
 	// the test: the old versions are compared with.
-	maxTestPart = 0.6
+	maxTestPart = 0.75
 	// measureTime is how long the requests are counted before the first ones go to the
 	// new version.
 	measureTime = 400 * time.Millisecond
--- a/core/process/rollout/step.go
+++ b/core/process/rollout/step.go
@@ -98,10 +98,10 @@
 	}
 }
 
-// mayAdvance reports whether the stage Shift or Full has lasted long enough without doubt
-// about the version. In a hurry it lasts no longer than the VMs need to confirm it.
+// mayAdvance reports whether the stage Shift or Full has lasted long enough and the version
+// still counts as good. In a hurry it lasts no longer than the VMs need to confirm it.
 func (r *run) mayAdvance(vms []string, hurry bool, now bootclock.Time) bool {
-	if r.judge.doubtful() || now.Sub(r.stageSince) < stageTime && !hurry {
+	if !r.judge.good(true) || now.Sub(r.stageSince) < stageTime && !hurry {
 		return false
 	}
 	return r.confirmed(vms, now, func(Report) bool { return true })
@@ -121,7 +121,7 @@
 // have not ended shortly before the deadline belong to requests that were answered by
 // others.
 func (r *run) mayFinish(vms []string, now bootclock.Time) bool {
-	if r.stage != Closed || r.remaining(now) <= 0 || r.judge.doubtful() || now.Sub(r.stageSince) < closedTime {
+	if r.stage != Closed || r.remaining(now) <= 0 || !r.judge.good(true) || now.Sub(r.stageSince) < closedTime {
 		return false
 	}
 	if r.confirmed(vms, now, func(p Report) bool { return p.running.old == 0 }) {
