--- a/core/process/rollout/allot.go
+++ b/core/process/rollout/allot.go
@@ -16,7 +16,7 @@
 	// slackShare is the part of the exposure slack that a rollout may use, and minSlack
 	// the part that the test may use however much moving the traffic takes.
 	slackShare = 0.85
-	minSlack   = 0.25
+	minSlack   = 0.15
 	// movingTime is how long the stages after the test take without a fault, in which
 	// about all requests go to the new version.
 	movingTime = 1100 * time.Millisecond
