rollout: late reports of a VM's former run are ignored

A report that another control VM passes on may arrive after the VM has restarted; it then counted both runs again each time (test: 6 instead of 2 responses).

--- a/core/process/placement/version_test.go
+++ b/core/process/placement/version_test.go
@@ -11,6 +11,7 @@
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/process/rollout"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
 // newVersionList returns a list with two targets of s-1 of each version, named by the
@@ -171,3 +172,23 @@
 	assert.Assert(t, ok)
 	assert.Assert(t, median >= 7*time.Millisecond && median <= 9*time.Millisecond, "%s", median)
 }
+
+// A rollout belongs to the service: neither a new configuration nor a data centre out of
+// service may end it, and targets of that data centre must get nothing in any stage.
+func TestRolloutGoesOnWithOtherChanges(t *testing.T) {
+	f := newRolloutFleet(rollout.Closed, 0)
+	old := discovery.NewInstance("v1-9", "s-1", "10.0.9.9:80", "dc-2", 20).WithVersion("v1")
+	f.SetTargets(newVersionList(2, "v1", "v2").Apply(discovery.NewDifference([]discovery.Instance{old}, nil), 3, start), start)
+	f.SetServices(routing.NewTable(2, nil, nil, routing.Limits{}))
+	assert.DeepEqual(t, sentTo(t, f, 10), map[string]int{"v2": 10})
+	f.SetOutOfService([]string{"dc-1"}, start)
+	l, ok := f.Acquire(placement.NewLeaseRequest("s-1", "k"), start)
+	assert.Assert(t, ok)
+	assert.Equal(t, l.Instance().ID(), "v1-9", "no target of the new version is in service")
+	f.SetOutOfService(nil, start)
+	l.Succeeded(start)
+	assert.DeepEqual(t, sentTo(t, f, 10), map[string]int{"v2": 10})
+	all, sent := f.RolloutReports(start)[0].Requests()
+	assert.Equal(t, all, uint64(21))
+	assert.Equal(t, sent, uint64(20))
+}
--- a/core/process/rollout/run.go
+++ b/core/process/rollout/run.go
@@ -65,6 +65,9 @@
 	activeAt, allottedAt bootclock.Time
 }
 
+// vmRun identifies a run of an entry VM.
+type vmRun struct{ vm, startID string }
+
 // run is a rollout that is running.
 type run struct {
 	record Record
@@ -75,6 +78,7 @@
 	vms         map[string]*vmState
 	// retired holds the counts of runs of VMs that have ended.
 	retired     map[string]*RouteCounts
+	retiredRuns map[vmRun]bool
 	retiredAll  uint64
 	retiredSent uint64
 	judge       judge
@@ -94,7 +98,7 @@
 
 func newRun(r Record, now bootclock.Time) *run {
 	return &run{record: r, elapsedThen: r.elapsed, seenAt: now, statedAt: now, vms: make(map[string]*vmState),
-		retired: make(map[string]*RouteCounts), judge: newJudge()}
+		retired: make(map[string]*RouteCounts), retiredRuns: make(map[vmRun]bool), judge: newJudge()}
 }
 
 // elapsed returns how much time has passed since the order.
@@ -127,11 +131,15 @@
 }
 
 // takeReport replaces the report of a VM. If the VM has restarted, the counts of the run
-// before are kept.
+// before are kept, and reports of it that arrive later are ignored.
 func (r *run) takeReport(vm, startID string, sequence uint64, report Report, number uint64, confirmedAt, now bootclock.Time) {
+	if r.retiredRuns[vmRun{vm: vm, startID: startID}] {
+		return
+	}
 	v := r.vms[vm]
 	if v == nil || v.startID != startID {
 		if v != nil {
+			r.retiredRuns[vmRun{vm: vm, startID: v.startID}] = true
 			r.retire(v)
 		}
 		v = &vmState{startID: startID, allowance: report.allowance, charged: report.allowance}
--- a/core/process/rollout/unit_test.go
+++ b/core/process/rollout/unit_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +107,22 @@
 	assert.NilError(t, dec.Err())
 	assert.Assert(t, bytes.Equal(again.Payload(), enc.Payload()))
 }
+
+// Guards against requests that are counted twice because a VM has restarted, or because a
+// report of its former run arrives late on another way.
+func TestRestartOfAVMIsNotCountedTwice(t *testing.T) {
+	at := bootclock.Time(time.Hour)
+	r := rollout.NewRecord("s", []string{"v1"}).Started(5, "v2", time.Minute)
+	c := rollout.NewController(rollout.DefaultBounds(), rand.New(rand.NewPCG(1, 2)))
+	c.Observe([]rollout.Record{r}, at)
+	before, after := rollout.NewGate(r, 0, noMedian), rollout.NewGate(r, 0, noMedian)
+	before.CountFailure("route", true)
+	after.CountFailure("route", true)
+	for sequence := range uint64(3) {
+		c.TakeReport("vm", "a", sequence+1, before.Report(rollout.InFlight{}, true, at), rollout.Confirmation{}, at)
+		c.TakeReport("vm", "b", sequence+1, after.Report(rollout.InFlight{}, true, at), rollout.Confirmation{}, at)
+	}
+	c.SetLeader(true, 1, at)
+	c.Step([]string{"vm"}, true, at)
+	assert.Assert(t, strings.HasPrefix(c.Evidence("s"), "2 bad of 2 responses"), c.Evidence("s"))
+}
