--- a/core/process/rollout/rollout_test.go
+++ b/core/process/rollout/rollout_test.go
@@ -25,6 +25,13 @@
 		}
 		return false, 1
 	}},
+	{"never responds", func(*rand.Rand, time.Duration, int, int) (bool, float64) { return false, 1000 }},
+	{"stops responding at 9 s", func(_ *rand.Rand, since time.Duration, _, _ int) (bool, float64) {
+		if since > 9*time.Second {
+			return false, 1000
+		}
+		return false, 1
+	}},
 	{"fails from 6 s on", func(_ *rand.Rand, since time.Duration, _, _ int) (bool, float64) { return since > 6*time.Second, 1 }},
 	{"fails under load", failsUnderLoad},
 	{"slow under load", func(_ *rand.Rand, _ time.Duration, _, load int) (bool, float64) {
--- a/core/process/rollout/simulation_test.go
+++ b/core/process/rollout/simulation_test.go
@@ -18,6 +18,8 @@
 	delayTicks  = 1
 	commitTicks = 5
 	electTicks  = 130
+	// overdueAfter is the time after which a response of the new version is overdue.
+	overdueAfter = 250 * time.Millisecond
 )
 
 // behaviour returns whether a response of the new version fails and by which factor its
@@ -59,10 +61,13 @@
 }
 
 type simulatedVM struct {
-	name    string
-	starts  int
-	gate    *rollout.Gate
-	cut     bool
+	name   string
+	starts int
+	gate   *rollout.Gate
+	cut    bool
+	// inOld counts the requests at old targets, inNew has when those at new ones were
+	// sent.
+	inNew   map[time.Duration]bool
 	inOld   int
 	number  uint64
 	sentAt  map[uint64]bootclock.Time
@@ -108,6 +113,7 @@
 	v.sentAt = make(map[uint64]bootclock.Time)
 	v.latest = rollout.Confirmation{}
 	v.inOld = 0
+	v.inNew = make(map[time.Duration]bool)
 }
 
 func (s *simulation) after(ticks int, f func()) {
@@ -220,6 +226,9 @@
 	for range v.inOld {
 		running.Add(false, false)
 	}
+	for sentAt := range v.inNew {
+		running.Add(true, s.since()-sentAt > overdueAfter)
+	}
 	v.number++
 	v.sentAt[v.number] = s.now()
 	r, id, confirmation, number := v.gate.Report(running, true, s.now()), fmt.Sprint(v.starts), v.latest, v.number
@@ -275,14 +284,19 @@
 		s.lastSent = s.since()
 	}
 	gate, starts := v.gate, v.starts
-	if !updated {
+	sentAt := s.since()
+	if updated {
+		v.inNew[sentAt] = true
+	} else {
 		v.inOld++
 	}
 	s.after(int(took/tick)+1, func() {
 		if v.starts != starts {
 			return
 		}
-		if !updated {
+		if updated {
+			delete(v.inNew, sentAt)
+		} else {
 			v.inOld--
 		}
 		if fails {
