--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -22,6 +22,8 @@
 	wireUnchanged
 	wireConfirmRevision
 	wireRevisionConfirmed
+	wireRolloutReports
+	wireRolloutGrants
 )
 
 // Encode encodes a message as the payload of a frame.
@@ -79,6 +81,12 @@
 	case RevisionConfirmed:
 		enc.Uint(wireRevisionConfirmed)
 		encodeRevisionConfirmed(enc, m)
+	case RolloutReports:
+		enc.Uint(wireRolloutReports)
+		encodeRolloutReports(enc, m)
+	case RolloutGrants:
+		enc.Uint(wireRolloutGrants)
+		encodeRolloutGrants(enc, m)
 	}
 	return enc.Payload()
 }
@@ -119,6 +127,10 @@
 		out = ConfirmRevision{number: dec.Uint()}
 	case wireRevisionConfirmed:
 		out = decodeRevisionConfirmed(dec)
+	case wireRolloutReports:
+		out = decodeRolloutReports(dec)
+	case wireRolloutGrants:
+		out = decodeRolloutGrants(dec)
 	default:
 		dec.Fail("unknown message kind")
 	}
--- a/core/connection/peer/message.go
+++ b/core/connection/peer/message.go
@@ -9,7 +9,7 @@
 // Message is a message between processes: Hello, Heartbeat, ReplicaMessage,
 // ConfigurationPush, ForwardedCommand, Reply, TargetUpdates, Presence,
 // PublishedRoutes, ReadRoutes, TargetList, LateResponses, Unchanged,
-// ConfirmRevision or RevisionConfirmed.
+// ConfirmRevision, RevisionConfirmed, RolloutReports or RolloutGrants.
 type Message interface{ message() }
 
 // Hello identifies the sender; it is the first message of each connection of
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -58,7 +58,7 @@
 // the first start of the whole installation, when the seeds bootstrap the
 // replicated log.
 func NewIdentity(vm, address, dataCentre, startID string, firstStart bool) Identity {
-	return Identity{vm: vm, address: address, dataCentre: dataCentre, startID: startID, firstStart: firstStart}
+	return Identity{vm: vm, address: address, dataCentre: dataCentre, startID: peer.MarkStartID(startID), firstStart: firstStart}
 }
 
 // peerState is the state of the VM at the other end of a session. It is guarded
@@ -104,6 +104,7 @@
 	reader        ListReader
 	calls         *peer.PendingCalls
 	findingSource FindingSource
+	rollouts      rolloutRole
 
 	// observerMu serializes the calls to the observer. It is locked before mu.
 	observerMu sync.Mutex
@@ -144,7 +145,7 @@
 // New returns the cluster of the process self. The seeds are the addresses of the
 // control VMs that Run dials first. No session is opened before Run.
 func New(self Identity, seeds []string, reader ListReader, observer Observer, log *zap.Logger) *Cluster {
-	return &Cluster{
+	c := &Cluster{
 		self:           self,
 		log:            log,
 		observer:       observer,
@@ -158,6 +159,8 @@
 		entryVMSeen:    make(map[string]time.Time),
 		confirming:     newConfirming(),
 	}
+	c.rollouts.init()
+	return c
 }
 
 // EnableControl makes this process a control VM that stores the replicated log
@@ -186,6 +189,10 @@
 	if c.control != nil {
 		go (&controlLoop{cluster: c}).run(ctx)
 		go (&publishLoop{cluster: c}).run(ctx)
+		go (&rolloutLoop{cluster: c}).run(ctx)
+	}
+	if c.rollouts.gate != nil {
+		go (&reportLoop{cluster: c}).run(ctx)
 	}
 	go (&readLoop{cluster: c}).run(ctx)
 	switch {
--- a/core/process/cluster/loops.go
+++ b/core/process/cluster/loops.go
@@ -6,7 +6,6 @@
 	"sort"
 	"time"
 
-	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/connection/session"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
@@ -58,7 +57,9 @@
 
 // publishLoop adopts the latest routes that the log has accepted whenever they
 // change, once the replica has caught up: those of its last snapshot may have been
-// replaced. On the leader it also sends them to the entry VMs at once.
+// replaced. The leader also sends them to the entry VMs at once, and so do all control VMs
+// if a rollout has begun or ended: an entry VM without a link to the leader must not go on
+// with targets that stop.
 type publishLoop struct{ cluster *Cluster }
 
 func (l *publishLoop) run(ctx context.Context) {
@@ -70,10 +71,13 @@
 			return
 		}
 		s := c.control.Status()
-		if !s.CaughtUp() || !c.adoptRoutes(s.Routes(), time.Now()) || !s.Leads() {
+		before := c.Routes()
+		if !s.CaughtUp() || !c.adoptRoutes(s.Routes(), time.Now()) {
 			continue
 		}
-		c.publishRoutes()
+		if s.Leads() || rolloutsDiffer(before, s.Routes()) {
+			c.publishRoutes()
+		}
 	}
 }
 
@@ -81,11 +85,11 @@
 func (c *Cluster) publishRoutes() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	payload := peer.Encode(peer.NewPublishedRoutes(c.routes))
+	payloads := encodeRoutes(c.routes)
 	for s, r := range c.sessions {
 		// Other control VMs receive the routes through the log.
 		if r.identified && r.presence.Address() == "" && r.presence.Revision() < c.routes.Revision() {
-			s.Send(payload)
+			s.Send(payloads.forPeer(r))
 		}
 	}
 }
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -7,6 +7,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/connection/session"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
@@ -55,10 +56,14 @@
 		c.receiveLate(m, now)
 	case peer.TargetList:
 		c.receiveList(s, m, now)
+	case peer.RolloutReports:
+		c.receiveRolloutReports(s, m, bootclock.Now())
+	case peer.RolloutGrants:
+		c.receiveRolloutGrants(s, m, now, bootclock.Now())
 	case peer.ForwardedCommand:
 		go (&forwardedCommand{cluster: c, session: s, message: m}).run()
 	case peer.ReadRoutes:
-		go (&forwardedRead{cluster: c, session: s, number: m.Number()}).run()
+		go (&forwardedRead{cluster: c, session: s, number: m.Number(), understandsRollouts: c.understandsRollouts(s)}).run()
 	case peer.ConfirmRevision:
 		c.receiveConfirmRevision(s, m)
 	case peer.RevisionConfirmed:
@@ -148,7 +153,7 @@
 	}
 	if r.presence.Revision() < c.routes.Revision() {
 		if firstPresence || r.missingRevision == c.routes.Revision() {
-			s.Send(peer.Encode(peer.NewPublishedRoutes(c.routes)))
+			s.Send(encodeRoutes(c.routes).forPeer(r))
 			r.missingRevision = 0
 		} else {
 			r.missingRevision = c.routes.Revision()
@@ -168,7 +173,11 @@
 	if r.sentOnce && difference.Empty() {
 		return true
 	}
-	sent := s.Send(peer.Encode(peer.NewTargetList(!r.sentOnce, c.list.SequenceNumber(), now.Sub(c.list.ReadAt()), difference)))
+	m := peer.NewTargetList(!r.sentOnce, c.list.SequenceNumber(), now.Sub(c.list.ReadAt()), difference)
+	if !r.presence.UnderstandsRollouts() {
+		m = m.WithoutVersions()
+	}
+	sent := s.Send(peer.Encode(m))
 	if sent {
 		r.sentList = c.list
 		r.sentOnce = true
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -20,6 +20,7 @@
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
+	"github.com/mulberrydale/mulberrydale/core/process/rollout"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
@@ -84,6 +85,16 @@
 // routes declare. It must be called before the cluster runs.
 func (e *Entry) SetLimiter(l *intake.Limiter) { e.intake = l }
 
+// SetRollouts sets the bounds of rollouts, and makes the cluster exchange reports and grants
+// with the fleet of this VM. It must be called after SetCluster, and before the cluster
+// runs.
+func (e *Entry) SetRollouts(bounds rollout.Bounds) {
+	if bounds.Enforced() {
+		e.fleet.EnforceVersions()
+	}
+	e.cluster.SetRollouts(bounds, e.fleet)
+}
+
 // Handler returns the HTTP handler for the requests of callers.
 func (e *Entry) Handler() http.Handler { return e.gateway }
 
@@ -118,12 +129,13 @@
 	go (&membershipLoop{entry: e}).run(ctx)
 }
 
-// RoutesChanged applies accepted routes and the set of data centres that are
-// out of service. Version 0 means that no routes are accepted yet. The previous
+// RoutesChanged applies accepted routes, the set of data centres that are out of
+// service, and the versions in use and rollouts. Version 0 means that no routes are accepted yet. The previous
 // routing table stays in use if the new one is not of a higher version or cannot
 // be decoded.
 func (e *Entry) RoutesChanged(routes replica.Routes, now time.Time) {
 	e.fleet.SetOutOfService(routes.OutOfService(), now)
+	e.fleet.SetRollouts(routes.Rollouts(), now)
 	if routes.Version() == 0 {
 		return
 	}
@@ -210,13 +222,16 @@
 // is isolated: its readiness check fails, so that the load balancer sends
 // callers to VMs in other data centres.
 func (e *Entry) updateMembership(now time.Time) {
-	if n, known := e.cluster.EntryVMs(now); known {
+	n, known := e.cluster.EntryVMs(now)
+	if known {
 		e.fleet.SetEntryVMs(n, now)
 	}
+	e.fleet.SetOutOfTouch(!known)
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
 	e.gateway.telemetry.recordTargetChanges(e.fleet.TakeChanges())
 	e.watchConfirmation(bootclock.Now())
+	e.gateway.telemetry.recordRolloutRequests(e.fleet.TakeRolloutRequests())
 	isolated := len(unreachable) > 0 && !e.dispatcher.Servable(now)
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("target reachability changed", zap.Bool("isolated", isolated), zap.Strings("data-centres", unreachable))
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -128,9 +128,11 @@
 	}
 	p.cluster = cluster.New(identity, s.seeds, p.adapter.NewListReader(s, p.log), observer, p.log)
 	p.cluster.Confirmation().SetWithin(s.revocation.within)
+	p.cluster.SetRollouts(s.rollouts, nil)
 	if p.entry != nil {
 		p.entry.SetCluster(p.cluster)
 		p.entry.SetStrictRevocation(s.revocation.strict)
+		p.entry.SetRollouts(s.rollouts)
 	}
 	socket, err := p.startControl()
 	if err != nil {
