control, peer: leadership for tokens, messages of tokens

A leader that grants tokens must know how old its contact with a quorum is by a clock that counts suspensions, and since when its predecessor led. The status of the control role now has both. TokenRequest and TokenGrant carry the asks and grants of all teams of a VM.

--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -20,6 +20,8 @@
 	wireTargetList
 	wireLateResponses
 	wireUnchanged
+	wireTokenRequest
+	wireTokenGrant
 )
 
 // Encode encodes a message as the payload of a frame.
@@ -71,6 +73,12 @@
 	case Unchanged:
 		enc.Uint(wireUnchanged)
 		encodeUnchanged(enc, m)
+	case TokenRequest:
+		enc.Uint(wireTokenRequest)
+		encodeTokenRequest(enc, m)
+	case TokenGrant:
+		enc.Uint(wireTokenGrant)
+		encodeTokenGrant(enc, m)
 	}
 	return enc.Payload()
 }
@@ -107,6 +115,10 @@
 		out = decodeLateResponses(dec)
 	case wireUnchanged:
 		out = decodeUnchanged(dec)
+	case wireTokenRequest:
+		out = decodeTokenRequest(dec)
+	case wireTokenGrant:
+		out = decodeTokenGrant(dec)
 	default:
 		dec.Fail("unknown message kind")
 	}
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -15,6 +15,7 @@
 	"github.com/mulberrydale/mulberrydale/core/connection/frame"
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/quota"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 )
 
@@ -36,6 +37,8 @@
 	}, []string{"i-2"})),
 	peer.NewLateResponses([]discovery.LateResponse{discovery.NewLateResponse("i-1", time.Second, 25*time.Millisecond)}),
 	peer.NewUnchanged(4, time.Second),
+	peer.NewTokenRequest(quota.NewAsk(7, 3, 6, []quota.TeamAsk{quota.NewTeamAsk("t-1", 1, 2, 3, 4)})),
+	peer.NewTokenGrant(quota.NewGrant(3, 8, 7, true, []quota.TeamGrant{quota.NewTeamGrant("t-1", 1, 2, true, time.Second)})),
 }
 
 func TestMessageRoundTrip(t *testing.T) {
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -106,6 +106,9 @@
 	loggedLeader   string
 	caughtUp       bool
 	openedAt       time.Time
+	suspensions    suspensionDetector
+	// clock is the clock of Run, zero before it.
+	clock monotonicClock
 
 	// stateMu guards state, which is shared between the loop and callers of
 	// Audit.
--- /dev/null
+++ b/core/process/control/leadership.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+	"github.com/mulberrydale/mulberrydale/core/process/replica"
+)
+
+// Leadership is what a leader may rely on to act alone for a short time, for example to
+// grant tokens of a quota. The zero value belongs to a VM that may not.
+type Leadership struct {
+	established      bool
+	term             uint64
+	hasPredecessor   bool
+	predecessorAge   time.Duration
+	quorumContact    bootclock.Time
+	hasQuorumContact bool
+}
+
+// Leadership returns the state of the leadership. It is established once the leader has
+// committed an entry of its term.
+func (s Status) Leadership() Leadership { return s.leadership }
+
+// Established reports whether this VM is the leader and has committed an entry of its
+// term. Every earlier leader that did so is in its log.
+func (l Leadership) Established() bool { return l.established }
+
+// Term returns the term.
+func (l Leadership) Term() uint64 { return l.term }
+
+// Predecessor returns a time that has at least passed since the last leader before this
+// one was elected, or false if there was none. All leaders before that one were deposed by
+// then.
+func (l Leadership) Predecessor() (age time.Duration, exists bool) {
+	return l.predecessorAge, l.hasPredecessor
+}
+
+// QuorumAge returns the time since the last known contact with a quorum, including the
+// time for which this machine was suspended. It is false if no contact is known: no other
+// leader can have been elected before a contact.
+func (l Leadership) QuorumAge(now bootclock.Time) (time.Duration, bool) {
+	return now.Sub(l.quorumContact), l.hasQuorumContact
+}
+
+// leadership returns the state of the leadership. now is the time of the replica.
+func (c *Control) leadership(now time.Time) Leadership {
+	if c.clock.base.IsZero() {
+		return Leadership{}
+	}
+	// The boot clock is read first: a delay between the two readings then makes a
+	// contact look older, not more recent.
+	bootTime := bootclock.Now()
+	c.suspensions.observe(c.clock.now(), bootTime)
+	contact, leads := c.node.LastQuorumContact(now)
+	if !leads || c.node.Role() != replica.Leader {
+		return Leadership{}
+	}
+	_, established := c.node.ReadIndex()
+	since, exists := c.node.Predecessor()
+	l := Leadership{established: established, term: c.node.Term(), hasPredecessor: exists, predecessorAge: now.Sub(since)}
+	l.quorumContact, l.hasQuorumContact = c.suspensions.toBootTime(contact)
+	return l
+}
+
+// maxClockDifference is the error of a comparison of two clocks that are read one after
+// the other. A greater difference means that the machine was suspended between them, or
+// that the process did not run, which has the same consequence.
+const maxClockDifference = 5 * time.Millisecond
+
+// suspensionDetector converts times of the replica, which do not include suspensions of
+// the machine, to those of the boot clock.
+type suspensionDetector struct {
+	// replicaTime and bootTime were read together. Since then no suspension was seen.
+	replicaTime time.Time
+	bootTime    bootclock.Time
+}
+
+// observe compares the clocks, and starts again if the machine was suspended.
+func (d *suspensionDetector) observe(replicaTime time.Time, bootTime bootclock.Time) {
+	difference := bootTime.Sub(d.bootTime) - replicaTime.Sub(d.replicaTime)
+	if d.replicaTime.IsZero() || difference > maxClockDifference || difference < -maxClockDifference {
+		d.replicaTime = replicaTime
+		d.bootTime = bootTime
+	}
+}
+
+// toBootTime returns the boot time of a time of the replica, at most maxClockDifference too
+// early. It is not known for a time before the last suspension.
+func (d *suspensionDetector) toBootTime(t time.Time) (bootclock.Time, bool) {
+	if d.replicaTime.IsZero() || t.Before(d.replicaTime) {
+		return 0, false
+	}
+	return d.bootTime.Add(t.Sub(d.replicaTime) - maxClockDifference), true
+}
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -23,6 +23,7 @@
 // error if a snapshot sent by the leader can't be decoded; the role has then stopped.
 func (c *Control) Run(ctx context.Context) error {
 	clock := monotonicClock{base: time.Now()}
+	c.clock = clock
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	defer c.journal.Close()
@@ -241,6 +242,7 @@
 		caughtUp:     c.caughtUp,
 		quorumAge:    c.node.QuorumAge(now),
 		at:           time.Now(),
+		leadership:   c.leadership(now),
 	}
 	c.stateMu.Unlock()
 	old := c.status.Swap(s)
--- a/core/process/control/status.go
+++ b/core/process/control/status.go
@@ -21,6 +21,7 @@
 	caughtUp     bool
 	quorumAge    time.Duration
 	at           time.Time
+	leadership   Leadership
 }
 
 // Member returns the replica id and the VM of this process.
--- a/core/process/replica/node.go
+++ b/core/process/replica/node.go
@@ -110,6 +110,7 @@
 	heartbeatAt time.Time
 	// leaderSince is the time at which this replica last became the leader.
 	leaderSince time.Time
+	history     leaderHistory
 	// votes holds the votes granted to this replica in the current phase of its
 	// election.
 	votes map[ID]bool
@@ -133,6 +134,7 @@
 		commitIndex: persisted.snapshot.index,
 	}
 	n.syncedIndex = n.log.lastIndex()
+	n.history = leaderHistory{term: n.log.lastTerm(), since: now}
 	n.electionAt = now.Add(startupElectionTimeout + time.Duration(randIntN(int(startupElectionTimeout/time.Millisecond)))*time.Millisecond)
 	return n
 }
--- a/core/process/replica/replication.go
+++ b/core/process/replica/replication.go
@@ -153,6 +153,7 @@
 	if term > n.hardState.term || n.role != Follower || n.leader != from {
 		n.becomeFollower(term, from, now)
 	}
+	n.history.follow(term, now)
 	n.leaderContactAt = now
 	n.leaderQuorumAge = quorumAge
 	n.resetElectionTimer(now)
