cluster, dispatch: requests take a token of their team's quota

The leader of the log grants the tokens; entry VMs ask it on the session that they have. A request takes its token once, after admission and before its first send: 429 if the owner has none, 503 if no owner answers. Without teams that have a quota nothing is sent and nothing changes.

--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -104,6 +104,10 @@
 	reader        ListReader
 	calls         *peer.PendingCalls
 	findingSource FindingSource
+	// tokens and tokenOwner are nil without EnableQuotas; tokenOwner is used on control
+	// VMs only.
+	tokens     *Tokens
+	tokenOwner *tokenOwner
 
 	// observerMu serializes the calls to the observer. It is locked before mu.
 	observerMu sync.Mutex
@@ -192,6 +196,7 @@
 	case c.findingSource != nil:
 		go (&lateLoop{cluster: c}).run(ctx)
 	}
+	c.runTokens(ctx)
 	c.presenceLoop(ctx)
 }
 
@@ -300,6 +305,9 @@
 	c.mu.Unlock()
 	if newer {
 		c.log.Info("adopted newer routes", zap.Uint64("revision", routes.Revision()), zap.Uint64("version", routes.Version()), zap.Strings("out-of-service", routes.OutOfService()))
+		if c.tokenOwner != nil {
+			c.tokenOwner.setRoutes(routes)
+		}
 		c.observer.RoutesChanged(routes, now)
 	}
 	return newer
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -58,6 +58,12 @@
 		go (&forwardedCommand{cluster: c, session: s, message: m}).run()
 	case peer.ReadRoutes:
 		go (&forwardedRead{cluster: c, session: s, number: m.Number()}).run()
+	case peer.TokenRequest:
+		c.receiveTokenRequest(s, m)
+	case peer.TokenGrant:
+		if c.tokens != nil {
+			c.tokens.receive(m)
+		}
 	case peer.Reply:
 		c.calls.Resolve(m)
 	case peer.Hello, peer.Heartbeat, peer.ConfigurationPush, peer.TargetUpdates:
--- /dev/null
+++ b/core/process/cluster/tokenowner.go
@@ -0,0 +1,192 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/connection/session"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+	"github.com/mulberrydale/mulberrydale/core/process/control"
+	"github.com/mulberrydale/mulberrydale/core/process/logsink"
+	"github.com/mulberrydale/mulberrydale/core/process/quota"
+	"github.com/mulberrydale/mulberrydale/core/process/replica"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
+)
+
+const (
+	// leadershipPollInterval is the time between two checks of a control VM whether it
+	// has become the leader.
+	leadershipPollInterval = 50 * time.Millisecond
+	// tokenSummaryInterval is the least time between two log lines about tokens.
+	tokenSummaryInterval = 10 * time.Second
+)
+
+// TeamDecoder returns the teams in a document of routes.
+type TeamDecoder func(document []byte) ([]routing.Team, error)
+
+// tokenOwner grants the tokens of all quotas while this control VM is the leader. mu is
+// taken before no other lock.
+type tokenOwner struct {
+	control  *control.Control
+	settings quota.Settings
+	decode   TeamDecoder
+	log      *zap.Logger
+
+	mu sync.Mutex
+	// owner is nil while this VM is not the leader.
+	owner    *quota.Owner
+	teams    []routing.Team
+	revision uint64
+	summary  tokenSummary
+}
+
+// tokenSummary counts what was granted since the last log line.
+type tokenSummary struct {
+	asks, immediate, stock, refused int
+	loggedAt                        bootclock.Time
+}
+
+// setRoutes applies the teams of newer routes.
+func (o *tokenOwner) setRoutes(routes replica.Routes) {
+	if routes.Version() == 0 {
+		return
+	}
+	teams, err := o.decode(routes.Document())
+	if err != nil {
+		o.log.Error("cannot decode the teams of the accepted routes; the previous quotas stay in use", zap.Uint64("version", routes.Version()), logsink.Cause(err))
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if routes.Revision() <= o.revision {
+		return
+	}
+	o.revision = routes.Revision()
+	o.teams = teams
+	if o.owner != nil {
+		o.owner.SetTeams(teams, bootclock.Now())
+	}
+}
+
+// observe replaces the owner after an election and returns the state of the leadership. The
+// caller holds mu.
+func (o *tokenOwner) observe() control.Leadership {
+	l := o.control.Status().Leadership()
+	switch {
+	case !l.Established():
+		if o.owner != nil && o.control.Status().Term() > o.owner.Term() {
+			o.log.Info("stopped granting tokens: this VM is not the leader", zap.Uint64("term", o.owner.Term()))
+			o.owner = nil
+		}
+	case o.owner == nil || o.owner.Term() != l.Term():
+		predecessor := quota.NoPredecessor()
+		age, exists := l.Predecessor()
+		if exists {
+			predecessor = quota.NewPredecessor(age)
+		}
+		now := bootclock.Now()
+		o.owner = quota.NewOwner(l.Term(), o.settings, predecessor, now)
+		o.owner.SetTeams(o.teams, now)
+		o.log.Info("this VM grants the tokens of quotas", zap.Uint64("term", l.Term()), zap.Bool("predecessor", exists),
+			zap.Duration("predecessor-since", age), zap.Int("teams", len(o.teams)))
+	}
+	return l
+}
+
+// answer answers an ask of a holder. It returns false if this VM may not grant, or for an
+// old ask.
+func (o *tokenOwner) answer(holder string, ask quota.Ask) (quota.Grant, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := o.observe()
+	// The time of the decision: it must be read after the leadership, so that the
+	// contact with the quorum is not later.
+	now := bootclock.Now()
+	age, known := l.QuorumAge(now)
+	if o.owner == nil || !l.Established() || !known || !o.owner.Grants(age, now) {
+		return quota.Grant{}, false
+	}
+	grant, ok := o.owner.Answer(holder, ask, now)
+	if ok {
+		o.count(ask, grant, now)
+	}
+	return grant, ok
+}
+
+// count adds an answer to the summary and logs it from time to time.
+func (o *tokenOwner) count(ask quota.Ask, grant quota.Grant, now bootclock.Time) {
+	s := &o.summary
+	s.asks++
+	waiting := 0
+	for _, t := range ask.Teams() {
+		_, _, n, _ := t.Counts()
+		waiting += n
+	}
+	for _, t := range grant.Teams() {
+		s.immediate += t.Immediate()
+		s.stock += t.Stock()
+		waiting -= t.Immediate()
+	}
+	s.refused += waiting
+	if now.Sub(s.loggedAt) < tokenSummaryInterval {
+		return
+	}
+	o.log.Info("tokens granted", zap.Uint64("term", grant.Owner()), zap.Int("asks", s.asks), zap.Int("to-waiting-requests", s.immediate),
+		zap.Int("to-stocks", s.stock), zap.Int("refused", s.refused), zap.Duration("since", now.Sub(s.loggedAt)))
+	*s = tokenSummary{loggedAt: now}
+}
+
+// leadershipLoop notices when this VM becomes the leader. It then tells all VMs at once, so
+// that they ask it for tokens.
+type leadershipLoop struct{ cluster *Cluster }
+
+func (l *leadershipLoop) run(ctx context.Context) {
+	ticker := time.NewTicker(leadershipPollInterval)
+	defer ticker.Stop()
+	led := false
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		o := l.cluster.tokenOwner
+		o.mu.Lock()
+		o.observe()
+		hasTeams := len(o.teams) > 0
+		o.mu.Unlock()
+		leads := l.cluster.control.Status().Leads()
+		if leads && !led && hasTeams {
+			l.cluster.sendPresences(time.Now())
+		}
+		led = leads
+	}
+}
+
+// receiveTokenRequest answers a request of another VM.
+func (c *Cluster) receiveTokenRequest(s *session.Session, m peer.TokenRequest) {
+	if c.tokenOwner == nil {
+		return
+	}
+	c.mu.Lock()
+	r := c.sessions[s]
+	identified := r != nil && r.identified
+	holder := ""
+	if identified {
+		holder = holderName(r.presence.VM(), r.presence.StartID())
+	}
+	c.mu.Unlock()
+	if !identified {
+		return
+	}
+	if grant, ok := c.tokenOwner.answer(holder, m.Ask()); ok {
+		s.Send(peer.Encode(peer.NewTokenGrant(grant)))
+	}
+}
+
+// holderName returns the name of one run of a process on a VM.
+func holderName(vm, startID string) string { return vm + "/" + startID }
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -67,6 +67,8 @@
 	// lastArrival is the time, in nanoseconds, from startedAt until the latest request
 	// arrived, 0 before the first.
 	lastArrival atomic.Int64
+	// tokens decides the quotas of teams, nil if there are none.
+	tokens TokenSource
 }
 
 // New returns a dispatcher without a routing table.
@@ -163,8 +165,13 @@
 	if refusal, refused := d.admit(plan, req); refused {
 		return refusal, trace
 	}
+	token, refusal, refused := d.takeToken(ctx, plan, req)
+	if refused {
+		return refusal, trace
+	}
 	q := &query{
 		dispatcher: d,
+		token:      token,
 		request:    req,
 		state:      relay.NewState(plan),
 		outcomes:   make(chan partOutcome, relay.MaxSends*len(plan.Services())),
@@ -174,6 +181,7 @@
 		trace:      &trace,
 	}
 	q.run(ctx)
+	token.giveBackUnlessSpent()
 	now := time.Now()
 	answer := q.state.Answer(now)
 	if refused, isRefused := answer.(relay.Refused); isRefused && refused.Code().Execution() == result.NotRun {
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -22,9 +22,11 @@
 // state they use only the outcomes channel and the fields guarded by cancelMu.
 type query struct {
 	dispatcher *Dispatcher
-	request    *relay.Request
-	state      *relay.State
-	outcomes   chan partOutcome
+	// token is the token of the request, nil if its team has no quota.
+	token    *heldToken
+	request  *relay.Request
+	state    *relay.State
+	outcomes chan partOutcome
 	// leases has for each part the channel that receives its lease while it is
 	// queued. waiters has the queue entry of each part, nil if it is not queued.
 	leases  []chan *placement.Lease
@@ -50,6 +52,9 @@
 // ends, or the dispatcher ends all requests.
 func (q *query) run(ctx context.Context) {
 	now := q.request.Arrived()
+	if q.token.waited() {
+		now = time.Now()
+	}
 	for n := range q.state.NumParts() {
 		q.sendFirst(n, now)
 	}
@@ -121,6 +126,7 @@
 	plan := q.state.Plan()
 	q.state.RecordSend(n, lease.Target(), q.overdueAfter(n), now)
 	q.trace.sends++
+	q.token.spend()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End())
 	q.cancelMu.Lock()
 	q.cancels = append(q.cancels, cancel)
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -37,6 +37,8 @@
 	// isolated is set while data centres are unreachable and
 	// dispatch.Dispatcher.Servable reports false.
 	isolated atomic.Bool
+	// countedTokens is used by updateTokens only.
+	countedTokens cluster.TokenStats
 }
 
 // RouteDecoder decodes and validates a document of routes.
@@ -62,6 +64,9 @@
 func (e *Entry) SetCluster(c *cluster.Cluster) {
 	e.cluster = c
 	c.SetFindingSource(e.fleet)
+	if tokens := c.Tokens(); tokens != nil {
+		e.dispatcher.SetTokens(tokens)
+	}
 }
 
 // Handler returns the HTTP handler for the requests of callers.
@@ -187,6 +192,7 @@
 func (e *Entry) updateMembership(now time.Time) {
 	if n, known := e.cluster.EntryVMs(now); known {
 		e.fleet.SetEntryVMs(n, now)
+		e.updateTokens(n)
 	}
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
--- a/core/process/gateway/gateway.go
+++ b/core/process/gateway/gateway.go
@@ -206,6 +206,8 @@
 		return http.StatusRequestEntityTooLarge
 	case result.TimedOut:
 		return http.StatusGatewayTimeout
+	case result.OverQuota:
+		return http.StatusTooManyRequests
 	}
 	if code.Execution() == result.NotRun {
 		return http.StatusServiceUnavailable
--- a/core/process/gateway/status_test.go
+++ b/core/process/gateway/status_test.go
@@ -7,7 +7,7 @@
 )
 
 func Example_httpStatus() {
-	for _, code := range []result.Code{result.Overloaded, result.OutcomeUnknown, result.TimedOut, result.UnknownQuery} {
+	for _, code := range []result.Code{result.Overloaded, result.OutcomeUnknown, result.TimedOut, result.UnknownQuery, result.OverQuota, result.Unconfirmed} {
 		fmt.Println(code, httpStatus(code))
 	}
 	// Output:
@@ -15,4 +15,6 @@
 	// outcome-unknown 502
 	// timed-out 504
 	// unknown-query 404
+	// over-quota 429
+	// unconfirmed 503
 }
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -28,6 +28,7 @@
 	"github.com/mulberrydale/mulberrydale/core/process/gateway"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
 const (
@@ -123,13 +124,14 @@
 		observer = p.entry
 	}
 	p.cluster = cluster.New(identity, s.seeds, p.adapter.NewListReader(s, p.log), observer, p.log)
-	if p.entry != nil {
-		p.entry.SetCluster(p.cluster)
-	}
 	sessionsListener, err := p.startControl()
 	if err != nil {
 		return err
 	}
+	p.cluster.EnableQuotas(s.quotas, p.decodeTeams)
+	if p.entry != nil {
+		p.entry.SetCluster(p.cluster)
+	}
 	go (&clusterLoop{cluster: p.cluster, listener: sessionsListener}).run(ctx)
 	if err := p.startEntry(ctx); err != nil {
 		return err
@@ -139,6 +141,15 @@
 	return p.serveHTTP(s.metricsAddress, mux)
 }
 
+// decodeTeams returns the teams in a document of routes.
+func (p *process) decodeTeams(document []byte) ([]routing.Team, error) {
+	table, err := p.adapter.DecodeRoutes(document)
+	if err != nil {
+		return nil, err
+	}
+	return table.Teams(), nil
+}
+
 // startControl opens the replicated log of a control VM, serves operators, and
 // returns the listener for the sessions of other VMs. It does nothing and
 // returns nil if this VM is not a control VM.
--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrydale/mulberrydale/core/connection/exchange"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
+	"github.com/mulberrydale/mulberrydale/core/process/quota"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
@@ -34,12 +35,13 @@
 	voters            int
 	limits            placement.Limits
 	targetTimes       placement.TargetTimes
+	quotas            quota.Settings
 }
 
 // NewSettings returns the settings of a VM in a data centre that serves metrics
 // on metricsAddress.
 func NewSettings(vm, dataCentre, metricsAddress string) Settings {
-	return Settings{vm: vm, dataCentre: dataCentre, metricsAddress: metricsAddress}
+	return Settings{vm: vm, dataCentre: dataCentre, metricsAddress: metricsAddress, quotas: quota.DefaultSettings()}
 }
 
 // WithCallers makes the VM an entry VM that answers callers and the readiness
@@ -94,6 +96,12 @@
 	return s
 }
 
+// WithQuotas sets how far the requests of a team may exceed its quota within a window.
+func (s Settings) WithQuotas(quotas quota.Settings) Settings {
+	s.quotas = quotas
+	return s
+}
+
 // WithGracePeriod sets the time between SIGTERM and SIGKILL.
 func (s Settings) WithGracePeriod(d time.Duration) Settings {
 	s.gracePeriod = d
@@ -142,6 +150,9 @@
 // Voters returns the number of voters to which the replicated log grows.
 func (s Settings) Voters() int { return s.voters }
 
+// Quotas returns how far the requests of a team may exceed its quota within a window.
+func (s Settings) Quotas() quota.Settings { return s.quotas }
+
 // isControlVM reports whether the VM stores the replicated log and answers
 // operators.
 func (s Settings) isControlVM() bool { return s.operatorsAddress != "" }
--- a/core/request/relay/request.go
+++ b/core/request/relay/request.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
 // Request is an HTTP request from a caller, with its complete body.
@@ -17,6 +19,8 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
+	// team is the team of the caller, nil if it is not known.
+	team *routing.Team
 
 	// wireHeader is the result of WireHeader.
 	wireHeaderOnce sync.Once
@@ -36,6 +40,20 @@
 	return r
 }
 
+// WithTeam sets the team of the caller. It changes r and returns it.
+func (r *Request) WithTeam(t routing.Team) *Request {
+	r.team = &t
+	return r
+}
+
+// Team returns the team of the caller, and whether it is known.
+func (r *Request) Team() (routing.Team, bool) {
+	if r.team == nil {
+		return routing.Team{}, false
+	}
+	return *r.team, true
+}
+
 // ID returns the id that the caller gave to this request, or one generated on
 // arrival.
 func (r *Request) ID() string { return r.id }
--- a/mulberrydale/routes/settings.go
+++ b/mulberrydale/routes/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/process/host"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
+	"github.com/mulberrydale/mulberrydale/core/process/quota"
 	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/document"
 )
@@ -21,6 +22,7 @@
 	defaultListLagMillis            = 1000
 	defaultDrainTimeoutMillis       = 3000
 	defaultMetricsAddress           = "127.0.0.1:9464"
+	minQuotaWindowMillis            = 100
 	maxLosses                       = 1000
 	maxRatio                        = 100
 	maxRequestsInWindow             = 1e6
@@ -40,6 +42,7 @@
 		WithTargetTimes(placement.NewTargetTimes(
 			time.Duration(root.IntOr("list-lag-ms", 0, maxMillis, defaultListLagMillis))*time.Millisecond,
 			time.Duration(root.IntOr("target-drain-ms", 0, maxMillis, defaultDrainTimeoutMillis))*time.Millisecond)).
+		WithQuotas(decodeQuotas(root)).
 		WithSeeds(decodeSeeds(doc, root), root.BoolOr("first-start", false)).
 		WithTargets(root.Address("targets-address"), decodePlacementLimits(root))
 	if root.Has("callers-address") {
@@ -60,6 +63,20 @@
 	return s, doc.Err()
 }
 
+// decodeQuotas decodes how far the requests of a team may exceed its quota (key quotas): in
+// any window of window-ms, they may number the team's rate times the window plus its burst,
+// times 1 + overage, plus slack.
+func decodeQuotas(o *document.Object) quota.Settings {
+	if !o.Has("quotas") {
+		return quota.DefaultSettings()
+	}
+	q := o.Object("quotas")
+	window := time.Duration(q.IntOr("window-ms", minQuotaWindowMillis, maxMillis, int(quota.DefaultSettings().Window().Milliseconds()))) * time.Millisecond
+	s := quota.NewSettings(window, q.NumberOr("overage", 0, maxRatio, 0), q.NumberOr("slack", 0, maxRequestsInWindow, 0))
+	q.ReportUnknownKeys()
+	return s
+}
+
 // decodeMetricsAddress returns metrics-address, or defaultMetricsAddress if the key is
 // missing.
 func decodeMetricsAddress(o *document.Object) string {
