--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
+	"github.com/mulberrydale/mulberrydale/core/process/quota"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
@@ -232,6 +233,7 @@
 	} else {
 		p.cluster.SetFindingSource(p.findings)
 	}
+	p.cluster.EnableQuotas(quota.NewSettings(5*time.Second, 0.1, 20), decodeTestTeams)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	go (&processLoop{process: p, socket: socket}).run(ctx)
--- a/core/process/cluster/tokenowner.go
+++ b/core/process/cluster/tokenowner.go
@@ -190,3 +190,6 @@
 
 // holderName returns the name of one run of a process on a VM.
 func holderName(vm, startID string) string { return vm + "/" + startID }
+
+// Leads reports whether this VM is the leader of the replicated log.
+func (c *Cluster) Leads() bool { return c.control != nil && c.control.Status().Leads() }
--- a/core/process/cluster/tokens.go
+++ b/core/process/cluster/tokens.go
@@ -148,7 +148,7 @@
 	}
 	c := t.cluster
 	sessions := c.leaderSessions()
-	local := c.tokenOwner != nil && c.control.Status().Leads()
+	local := c.tokenOwner != nil && c.Leads()
 	if len(sessions) == 0 && !local {
 		return false
 	}
--- a/core/process/quota/replay_test.go
+++ b/core/process/quota/replay_test.go
@@ -145,7 +145,9 @@
 				hotName = teams[tt.load.hotTeam].Name()
 			}
 			owed, refused, worst := s.summary(hotName)
-			t.Logf("refused %d of %d owed (%.5f), worst window %.2f of the bound, %.0f asks a second", refused, owed, float64(refused)/float64(owed), worst, float64(s.asks)/replayDuration.Seconds())
+			t.Logf("refused %d of %d owed (%.5f), worst window %.2f of the bound, %.0f asks a second, %.1f and %.1f KB/s to and from the owner",
+				refused, owed, float64(refused)/float64(owed), worst, float64(s.asks)/replayDuration.Seconds(),
+				float64(s.askBytes)/1000/replayDuration.Seconds(), float64(s.grantBytes)/1000/replayDuration.Seconds())
 			if hotName != "" {
 				c := s.counts[hotName]
 				t.Logf("hot team: arrived %d, owed %d, admitted %d", c.arrived, c.owed, c.admitted)
@@ -186,3 +188,22 @@
 		}
 	})
 }
+
+// A team whose limit falls far below what it sends must be held to the lower one by all
+// VMs, and the other teams must not notice.
+func TestReplayOfALowerLimit(t *testing.T) {
+	teams, means := teamsOf(load{skew: 1.2})
+	s := newSimulation(1, replaySettings, teams, 79)
+	s.lead(0, quota.NoPredecessor(), 0)
+	s.generate(load{skew: 1.2}, means)
+	changedAt := bootclock.Time(15 * time.Second)
+	lower := append([]routing.Team(nil), teams...)
+	lower[0] = routing.NewTeam(teams[0].Name(), nil, 0).WithQuota(teams[0].Rate()/10, teams[0].Burst()/10)
+	s.at(changedAt, func() { s.setTeams(lower) })
+	s.runUntil(bootclock.Time(replayDuration + time.Second))
+	_, refused, _ := s.summary(teams[0].Name())
+	worst := s.worstWindow(teams[0].Name(), changedAt.Add(limitApplied))
+	t.Logf("worst window %d of %.1f, %d owed requests of other teams refused", worst, replaySettings.Bound(lower[0]), refused)
+	assert.Assert(t, float64(worst) <= replaySettings.Bound(lower[0]))
+	assert.Equal(t, refused, 0)
+}
--- a/core/process/quota/simulation_test.go
+++ b/core/process/quota/simulation_test.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/quota"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
@@ -16,6 +17,9 @@
 // maxWait is how long a simulated request waits for the owner.
 const maxWait = 30 * time.Millisecond
 
+// frameHeaderBytes is the length of the header of a frame.
+const frameHeaderBytes = 4
+
 // event is an action at a simulated time.
 type event struct {
 	at  bootclock.Time
@@ -92,12 +96,13 @@
 	asks     int
 	loss     float64
 	// slow is added to the delay of a message with the probability slowShare.
-	slow         time.Duration
-	slowShare    float64
-	giveBack     float64
-	countOwedIn  func(now bootclock.Time) bool
-	messageBytes int
-	size         func(quota.Ask, quota.Grant) int
+	slow        time.Duration
+	slowShare   float64
+	giveBack    float64
+	countOwedIn func(now bootclock.Time) bool
+	// askBytes and grantBytes are the bytes of the messages that the owner received and
+	// sent.
+	askBytes, grantBytes int
 	// mostTokens has for each team the greatest number of tokens that could be spent at
 	// once since watchFrom, if watch is set.
 	watch      bool
@@ -252,9 +257,8 @@
 		return
 	}
 	grant, ok := l.owner.Answer(holder, ask, s.now)
-	if s.size != nil {
-		s.messageBytes += s.size(ask, grant)
-	}
+	s.askBytes += frameHeaderBytes + len(peer.Encode(peer.NewTokenRequest(ask)))
+	s.grantBytes += frameHeaderBytes + len(peer.Encode(peer.NewTokenGrant(grant)))
 	if !ok || s.now.Before(vm.cutUntil) || s.rng.Float64() < s.loss {
 		return
 	}
