placement, dispatch: order of service between teams

Where teams share a queue in the order of deadlines, one that suddenly sends many times its usual load takes capacity from all. Waiters are now served by rank, then by how much of its usual demand each team got, then by deadline; while the retry budget of a service is short, a team may use the part that its first attempts are of all; a query over shards sends nothing unless enough shards have capacity or are expected to have it in time. Nothing changes without teams.

--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -162,6 +162,9 @@
 		service = route.Pick(rand.Float64())
 	}
 	plan := relay.NewPlan(route, service, req, callerNetworkTime)
+	if table.HasTeams() {
+		d.fleet.RecordDemand(teamName(req), len(plan.Services()), req.Arrived())
+	}
 	if refusal, refused := d.admit(plan, req); refused {
 		return refusal, trace
 	}
@@ -179,13 +182,14 @@
 		waiters:    make([]*placement.Waiter, len(plan.Services())),
 		latest:     make([]*subRequest, len(plan.Services())),
 		trace:      &trace,
+		allOrNone:  table.HasTeams() && len(route.Shards()) > 0,
 	}
 	q.run(ctx)
 	token.giveBackUnlessSpent()
 	now := time.Now()
 	answer := q.state.Answer(now)
 	if refused, isRefused := answer.(relay.Refused); isRefused && refused.Code().Execution() == result.NotRun {
-		answer = d.withRetryAfter(refused, plan, req, now)
+		answer = d.withRetryAfter(refused, plan, req, q.capacityWait, now)
 	}
 	return answer, trace
 }
@@ -207,7 +211,7 @@
 	maxWait := plan.UnsentDeadline().Sub(now)
 	usable := d.servicesWithTargets(plan.Services(), now)
 	for _, s := range usable {
-		if d.fleet.ExpectedWait(s, plan.Route().Priority(), now) <= maxWait {
+		if d.expectedWait(s, plan, req, now) <= maxWait {
 			inTime++
 		}
 	}
@@ -215,7 +219,7 @@
 	case len(usable) < plan.MinParts():
 		return d.refuseUnusable(plan, req, now), true
 	case inTime < plan.MinParts():
-		return relay.NewRefused(result.Overloaded, "the wait for a target would be too long").WithRetryAfter(retryAfter(d.longestWait(plan, now), req)), true
+		return relay.NewRefused(result.Overloaded, "the wait for a target would be too long").WithRetryAfter(retryAfter(d.longestWait(plan, req, now), req)), true
 	}
 	return relay.Refused{}, false
 }
@@ -262,20 +266,21 @@
 }
 
 // withRetryAfter returns the refusal of a request that was not run, with the time after
-// which the caller may retry.
-func (d *Dispatcher) withRetryAfter(refused relay.Refused, plan relay.Plan, req *relay.Request, now time.Time) relay.Refused {
+// which the caller may retry. capacityWait is the time after which capacity is expected, if
+// it is known.
+func (d *Dispatcher) withRetryAfter(refused relay.Refused, plan relay.Plan, req *relay.Request, capacityWait time.Duration, now time.Time) relay.Refused {
 	if wait, known := d.fleet.UntilUsable(plan.Services(), plan.MinParts(), now); known && wait > 0 {
 		return refused.WithRetryAfter(wait + spread(minRetryAfter))
 	}
-	return refused.WithRetryAfter(retryAfter(d.longestWait(plan, now), req))
+	return refused.WithRetryAfter(retryAfter(max(capacityWait, d.longestWait(plan, req, now)), req))
 }
 
 // longestWait returns the longest expected queueing time among the services of
 // a plan.
-func (d *Dispatcher) longestWait(plan relay.Plan, now time.Time) time.Duration {
+func (d *Dispatcher) longestWait(plan relay.Plan, req *relay.Request, now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for _, s := range plan.Services() {
-		longest = max(longest, d.fleet.ExpectedWait(s, plan.Route().Priority(), now))
+		longest = max(longest, d.expectedWait(s, plan, req, now))
 	}
 	return longest
 }
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -34,6 +34,12 @@
 	// latest has the latest attempt for each part, nil before the first.
 	latest []*subRequest
 	trace  *Trace
+	// allOrNone is set if nothing is sent unless enough services have capacity or are
+	// expected to have it soon.
+	allOrNone bool
+	// capacityWait is the time after which capacity is expected if nothing was sent
+	// because of allOrNone, 0 if it is not known.
+	capacityWait time.Duration
 
 	// cancelMu guards cancels, the cancel functions of all attempts, and
 	// finished.
@@ -55,9 +61,7 @@
 	if q.token.waited() {
 		now = time.Now()
 	}
-	for n := range q.state.NumParts() {
-		q.sendFirst(n, now)
-	}
+	q.sendAllFirst(now)
 	now = time.Now()
 	timer := time.NewTimer(time.Until(q.state.NextTime(now)))
 	defer timer.Stop()
@@ -84,7 +88,7 @@
 
 // leaseRequest returns the lease request for the first attempt of part n.
 func (q *query) leaseRequest(n int) placement.LeaseRequest {
-	return placement.NewLeaseRequest(q.state.Plan().Services()[n], q.state.Plan().Route().Name())
+	return placement.NewLeaseRequest(q.state.Plan().Services()[n], q.state.Plan().Route().Name()).ForTeam(teamName(q.request))
 }
 
 // sendFirst sends the first attempt of part n, or queues it if no target has
--- a/core/process/placement/budget.go
+++ b/core/process/placement/budget.go
@@ -122,7 +122,17 @@
 // all of it.
 func (b *retryBudget) tryTake(vms int, known bool, now time.Time) bool {
 	bucket := b.advance(now)
-	extras, allowed := 0, 0.0
+	extras, allowed := b.use(vms, known, now)
+	if extras >= int(allowed+summationError) {
+		return false
+	}
+	b.extras[bucket]++
+	return true
+}
+
+// use returns the extra attempts within the window and how many are allowed.
+func (b *retryBudget) use(vms int, known bool, now time.Time) (extras int, allowed float64) {
+	b.advance(now)
 	for i := range storedBuckets {
 		extras += b.extras[i]
 		allowed += b.earned[i]
@@ -130,11 +140,7 @@
 	if known {
 		allowed += b.slackShare(vms, now) + b.roundingOffset
 	}
-	if extras >= int(allowed+summationError) {
-		return false
-	}
-	b.extras[bucket]++
-	return true
+	return extras, allowed
 }
 
 // refund gives an extra attempt back to the budget because it was not sent. It
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -73,6 +73,8 @@
 	entryVMsSetAt time.Time
 	// late holds the late responses since LateResponses was last called.
 	late []lateResponse
+	// fairness decides between the teams whose requests wait.
+	fairness fairness
 }
 
 // group holds the targets of one service, with its retry budget, response times
@@ -87,6 +89,8 @@
 	budget    retryBudget
 	latencies map[string]*latency
 	queue     queue
+	// extraShares limits the extra attempts of each team while the budget is short.
+	extraShares extraShares
 }
 
 // NewFleet returns a fleet without targets for a process that starts now, on
@@ -105,6 +109,7 @@
 		outOfService: make(map[string]bool),
 		reachability: make(map[string]*centreReachability),
 		entryVMs:     1,
+		fairness:     newFairness(),
 	}
 }
 
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -18,6 +18,7 @@
 	// run is the run of the target at that time.
 	run  int
 	kind string
+	team string
 	// charged is true for an extra attempt that was charged to the retry
 	// budget.
 	charged bool
@@ -54,9 +55,10 @@
 // grant returns a lease for a request to a target and counts it as in flight.
 // For a target with a slowdown above 1, the time after which its response is
 // overdue is multiplied by the slowdown. The caller holds f.mu.
-func (f *Fleet) grant(g *group, t *Target, kind string, charged bool, now time.Time) *Lease {
-	l := &Lease{fleet: f, target: t, instance: t.instance, run: t.run, kind: kind, charged: charged, sentAt: now, idleTimeout: f.idleTimeout(g, t)}
-	if stats := g.latency(kind); stats.known() {
+func (f *Fleet) grant(g *group, t *Target, r LeaseRequest, now time.Time) *Lease {
+	l := &Lease{fleet: f, target: t, instance: t.instance, run: t.run, kind: r.kind, team: r.team, charged: r.charged, sentAt: now, idleTimeout: f.idleTimeout(g, t)}
+	f.fairness.recordServed(r.team, 1, now)
+	if stats := g.latency(r.kind); stats.known() {
 		l.overdueAt = now.Add(max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now))))
 	}
 	t.inFlight[l] = struct{}{}
@@ -70,6 +72,8 @@
 type LeaseRequest struct {
 	service string
 	kind    string
+	// team is the name of the caller's team, empty for a request without one.
+	team string
 	// tried holds the targets that must not be chosen; it is nil for a first
 	// attempt. charged is true if the lease is for an extra attempt that is
 	// charged to the retry budget.
@@ -84,6 +88,12 @@
 	return LeaseRequest{service: service, kind: kind}
 }
 
+// ForTeam returns a lease request to which a team's share applies.
+func (r LeaseRequest) ForTeam(team string) LeaseRequest {
+	r.team = team
+	return r
+}
+
 // ExtraAttempt returns a lease request for a retry or hedge to a target that is
 // not in tried. It is charged to the retry budget unless exempt, which is for
 // an attempt that replaces one that was not sent.
@@ -100,28 +110,37 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(r.service)
-	if len(g.queue.waiting) > 0 && !r.charged && len(r.tried) == 0 {
-		// Requests in the queue are served first.
-		f.grantWaiting(g, now)
-		if len(g.queue.waiting) > 0 {
-			return nil, false
-		}
+	var t *Target
+	if !r.charged && len(r.tried) == 0 {
+		t = f.chooseFirst(g, r, now)
+	} else {
+		t = f.choose(g, r.kind, r.tried, now)
 	}
-	t := f.choose(g, r.kind, r.tried, now)
-	if t == nil || r.charged && !f.takeExtra(g, now) {
+	if t == nil || r.charged && !f.takeExtra(g, r.team, now) {
 		return nil, false
 	}
 	if !r.charged && len(r.tried) == 0 {
-		g.budget.countFirst(now)
+		g.countFirst(r.team, now)
 	}
-	return f.grant(g, t, r.kind, r.charged, now), true
+	return f.grant(g, t, r, now), true
 }
 
-// takeExtra counts an extra attempt and returns true if the retry budget of the service
-// allows one. The caller holds f.mu.
-func (f *Fleet) takeExtra(g *group, now time.Time) bool {
+// countFirst counts the first attempt of a request of a team. The caller holds g.fleet.mu.
+func (g *group) countFirst(team string, now time.Time) {
+	g.budget.countFirst(now)
+	g.extraShares.countFirst(team, g.budget.window, now)
+}
+
+// takeExtra counts an extra attempt of a team and returns true if the retry budget of the
+// service, and the team's share of it, allow one. The caller holds f.mu.
+func (f *Fleet) takeExtra(g *group, team string, now time.Time) bool {
 	vms, known := f.limitShares()
-	return g.budget.tryTake(vms, known, now)
+	used, allowed := g.budget.use(vms, known, now)
+	if !g.extraShares.allows(team, float64(used), allowed, g.budget.window, now) || !g.budget.tryTake(vms, known, now) {
+		return false
+	}
+	g.extraShares.countExtra(team, 1, g.budget.window, now)
+	return true
 }
 
 // Enqueue adds a first attempt to the queue of its service. Its lease is sent
@@ -131,8 +150,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(r.service)
-	g.budget.countFirst(now)
-	w := &Waiter{group: g, kind: r.kind, priority: priority, deadline: deadline, notify: notify}
+	g.countFirst(r.team, now)
+	w := &Waiter{group: g, kind: r.kind, team: r.team, priority: priority, deadline: deadline, notify: notify}
 	g.queue.insert(w, now)
 	f.grantWaiting(g, now)
 	return w
@@ -151,18 +170,26 @@
 }
 
 // ExpectedWait returns how long a new request of a priority would wait in the
-// queue of a service.
+// queue of a service, if it belongs to no team.
 func (f *Fleet) ExpectedWait(service string, priority int, now time.Time) time.Duration {
+	return f.ExpectedWaitOf(LeaseRequest{service: service}, priority, now)
+}
+
+// ExpectedWaitOf returns how long a new request of a priority would wait in the queue of
+// its service.
+func (f *Fleet) ExpectedWaitOf(r LeaseRequest, priority int, now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := &f.group(service).queue
-	ahead := 0
-	for _, w := range q.waiting {
-		if w.priority <= priority {
-			ahead++
-		}
-	}
-	return q.expectedWait(ahead, now)
+	q := &f.group(r.service).queue
+	return q.expectedWait(f.fairness.ahead(q.waiting, r.team, priority, now), now)
+}
+
+// RecordDemand records that a request of a team needs a number of first attempts, whether
+// it will be admitted or not.
+func (f *Fleet) RecordDemand(team string, attempts int, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fairness.recordDemand(team, attempts, now)
 }
 
 // OverdueAfter returns the time after which a response to a kind of request is
@@ -200,7 +227,9 @@
 	defer l.fleet.mu.Unlock()
 	if l.charged {
 		l.target.group.budget.refund(now)
+		l.target.group.extraShares.countExtra(l.team, -1, l.target.group.budget.window, now)
 	}
+	l.fleet.fairness.recordServed(l.team, -1, now)
 	l.release(now)
 }
 
--- a/core/process/placement/queue.go
+++ b/core/process/placement/queue.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -10,6 +11,7 @@
 type Waiter struct {
 	group    *group
 	kind     string
+	team     string
 	priority int
 	deadline time.Time
 	notify   chan<- *Lease
@@ -17,7 +19,8 @@
 }
 
 // queue holds the waiters of a service, ordered by priority (lower values
-// first) and then by deadline. It is guarded by Fleet.mu.
+// first) and then by deadline. Between teams of the same priority, fairness decides who
+// is served next. It is guarded by Fleet.mu.
 type queue struct {
 	waiting []*Waiter
 	// completionInterval is the moving average of the time between two requests
@@ -28,7 +31,7 @@
 	waitingSince time.Time
 }
 
-// before reports whether w is served before other.
+// before reports whether w is served before other of the same team.
 func (w *Waiter) before(other *Waiter) bool {
 	if w.priority != other.priority {
 		return w.priority < other.priority
@@ -95,24 +98,26 @@
 	return time.Duration(ahead) * interval
 }
 
-// grantWaiting sends leases to the waiters of a group, in queue order, until no
-// target has capacity left. A waiter whose channel is full is skipped. The
+// grantWaiting sends leases to the waiters of a group, in the order of fairness.next, until
+// no target has capacity left. A waiter whose channel is full is skipped. The
 // caller holds f.mu.
 func (f *Fleet) grantWaiting(g *group, now time.Time) {
-	for i := 0; i < len(g.queue.waiting); {
+	for skipped := 0; skipped < len(g.queue.waiting); {
+		i := f.fairness.next(g.queue.waiting, skipped, now)
 		w := g.queue.waiting[i]
 		t := f.choose(g, w.kind, nil, now)
 		if t == nil {
 			return
 		}
-		lease := f.grant(g, t, w.kind, false, now)
+		lease := f.grant(g, t, LeaseRequest{kind: w.kind, team: w.team}, now)
+		g.queue.waiting = append(g.queue.waiting[:i], g.queue.waiting[i+1:]...)
 		select {
 		case w.notify <- lease:
 			w.granted = true
-			g.queue.waiting = append(g.queue.waiting[:i], g.queue.waiting[i+1:]...)
 		default:
 			delete(t.inFlight, lease)
-			i++
+			g.queue.waiting = slices.Insert(g.queue.waiting, skipped, w)
+			skipped++
 		}
 	}
 }
