--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -37,8 +37,8 @@
 	}, []string{"i-2"})),
 	peer.NewLateResponses([]discovery.LateResponse{discovery.NewLateResponse("i-1", time.Second, 25*time.Millisecond)}),
 	peer.NewUnchanged(4, time.Second),
-	peer.NewTokenRequest(quota.NewAsk(7, 3, 6, []quota.TeamAsk{quota.NewTeamAsk("t-1", 1, 2, 3, 4)})),
-	peer.NewTokenGrant(quota.NewGrant(3, 8, 7, true, []quota.TeamGrant{quota.NewTeamGrant("t-1", 1, 2, true, time.Second)})),
+	peer.NewTokenRequest(quota.NewAsk(7, 3, 6, []quota.TeamAsk{quota.NewTeamAsk("t-1", 1, 2, 3, 4)})).OnBehalfOf("vm-1/s"),
+	peer.NewTokenGrant(quota.NewGrant(3, 8, 7, true, []quota.TeamGrant{quota.NewTeamGrant("t-1", 1, 2, true, time.Second)})).For("vm-1/s"),
 }
 
 func TestMessageRoundTrip(t *testing.T) {
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -61,9 +61,7 @@
 	case peer.TokenRequest:
 		c.receiveTokenRequest(s, m)
 	case peer.TokenGrant:
-		if c.tokens != nil {
-			c.tokens.receive(m)
-		}
+		c.receiveTokenGrant(m)
 	case peer.Reply:
 		c.calls.Resolve(m)
 	case peer.Hello, peer.Heartbeat, peer.ConfigurationPush, peer.TargetUpdates:
--- a/core/process/cluster/tokenowner.go
+++ b/core/process/cluster/tokenowner.go
@@ -1,14 +1,16 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/mulberrydale/mulberrydale/core/connection/peer"
-	"github.com/mulberrydale/mulberrydale/core/connection/session"
 	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
@@ -47,7 +49,36 @@
 // tokenSummary counts what was granted since the last log line.
 type tokenSummary struct {
 	asks, immediate, stock, refused int
-	loggedAt                        bootclock.Time
+	// refusedOf has the refused requests by team.
+	refusedOf map[string]int
+	loggedAt  bootclock.Time
+}
+
+// maxLoggedTeams bounds the teams named in one log line.
+const maxLoggedTeams = 8
+
+// mostRefused returns the teams with the most refused requests and their numbers.
+func (s *tokenSummary) mostRefused() []string {
+	teams := slices.SortedFunc(maps.Keys(s.refusedOf), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.refusedOf[b], s.refusedOf[a]), cmp.Compare(a, b))
+	})
+	var out []string
+	for _, team := range teams[:min(len(teams), maxLoggedTeams)] {
+		out = append(out, fmt.Sprintf("%s: %d", team, s.refusedOf[team]))
+	}
+	return out
+}
+
+// countRefused adds refused requests of a team.
+func (s *tokenSummary) countRefused(team string, n int) {
+	if n <= 0 {
+		return
+	}
+	if s.refusedOf == nil {
+		s.refusedOf = make(map[string]int)
+	}
+	s.refusedOf[team] += n
+	s.refused += n
 }
 
 // setRoutes applies the teams of newer routes.
@@ -121,22 +152,23 @@
 func (o *tokenOwner) count(ask quota.Ask, grant quota.Grant, now bootclock.Time) {
 	s := &o.summary
 	s.asks++
-	waiting := 0
+	waiting := make(map[string]int)
 	for _, t := range ask.Teams() {
 		_, _, n, _ := t.Counts()
-		waiting += n
+		waiting[t.Team()] = n
 	}
 	for _, t := range grant.Teams() {
 		s.immediate += t.Immediate()
 		s.stock += t.Stock()
-		waiting -= t.Immediate()
+		if !t.Discard() {
+			s.countRefused(t.Team(), waiting[t.Team()]-t.Immediate())
+		}
 	}
-	s.refused += waiting
 	if now.Sub(s.loggedAt) < tokenSummaryInterval {
 		return
 	}
 	o.log.Info("tokens granted", zap.Uint64("term", grant.Owner()), zap.Int("asks", s.asks), zap.Int("to-waiting-requests", s.immediate),
-		zap.Int("to-stocks", s.stock), zap.Int("refused", s.refused), zap.Duration("since", now.Sub(s.loggedAt)))
+		zap.Int("to-stocks", s.stock), zap.Int("refused", s.refused), zap.Strings("most-refused", s.mostRefused()), zap.Duration("since", now.Sub(s.loggedAt)))
 	*s = tokenSummary{loggedAt: now}
 }
 
@@ -167,27 +199,6 @@
 	}
 }
 
-// receiveTokenRequest answers a request of another VM.
-func (c *Cluster) receiveTokenRequest(s *session.Session, m peer.TokenRequest) {
-	if c.tokenOwner == nil {
-		return
-	}
-	c.mu.Lock()
-	r := c.sessions[s]
-	identified := r != nil && r.identified
-	holder := ""
-	if identified {
-		holder = holderName(r.presence.VM(), r.presence.StartID())
-	}
-	c.mu.Unlock()
-	if !identified {
-		return
-	}
-	if grant, ok := c.tokenOwner.answer(holder, m.Ask()); ok {
-		s.Send(peer.Encode(peer.NewTokenGrant(grant)))
-	}
-}
-
 // holderName returns the name of one run of a process on a VM.
 func holderName(vm, startID string) string { return vm + "/" + startID }
 
--- a/core/process/cluster/tokens.go
+++ b/core/process/cluster/tokens.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
-	"github.com/mulberrydale/mulberrydale/core/connection/session"
 	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/quota"
 )
@@ -15,6 +14,10 @@
 // requested in advance.
 const tokenPollInterval = 100 * time.Millisecond
 
+// relayAfter is the number of asks without an answer after which asks are also sent
+// through a control VM that is not the leader.
+const relayAfter = 2
+
 // Tokens holds the tokens of this VM for the quotas of teams. It asks the leader for more
 // on the sessions of the cluster. mu is taken before Cluster.mu and tokenOwner.mu.
 type Tokens struct {
@@ -24,6 +27,8 @@
 	holder  *quota.Holder
 	waiting map[quota.Waiter]chan quota.Decision
 	stats   TokenStats
+	// unanswered is the number of asks since the last grant.
+	unanswered int
 }
 
 // TokenStats counts how the tokens of requests were obtained, and the messages sent.
@@ -147,13 +152,14 @@
 		return true
 	}
 	c := t.cluster
-	sessions := c.leaderSessions()
+	sessions := c.leaderSessions(t.unanswered >= relayAfter, time.Now())
 	local := c.tokenOwner != nil && c.Leads()
 	if len(sessions) == 0 && !local {
 		return false
 	}
 	ask := t.holder.NextAsk(bootclock.Now())
 	t.stats.asks++
+	t.unanswered++
 	payload := peer.Encode(peer.NewTokenRequest(ask))
 	for _, s := range sessions {
 		s.Send(payload)
@@ -168,6 +174,7 @@
 
 // apply applies a grant and passes the decisions on. The caller holds mu.
 func (t *Tokens) apply(grant quota.Grant) {
+	t.unanswered = 0
 	for _, o := range t.holder.Apply(grant, bootclock.Now()) {
 		answer := t.waiting[o.Waiter()]
 		delete(t.waiting, o.Waiter())
@@ -210,32 +217,3 @@
 		}
 	}
 }
-
-// leaderSessions returns the sessions to the control VMs that present themselves as the
-// leader or, if none does, to that which others name as the leader. There may be two for a
-// short time after an election.
-func (c *Cluster) leaderSessions() []*session.Session {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []*session.Session
-	named := make(map[string]bool)
-	for s, r := range c.sessions {
-		if !r.alive(now) || r.presence.Leader() == "" {
-			continue
-		}
-		named[r.presence.Leader()] = true
-		if r.presence.Leader() == r.presence.Address() {
-			out = append(out, s)
-		}
-	}
-	if len(out) > 0 {
-		return out
-	}
-	for s, r := range c.sessions {
-		if r.identified && named[r.presence.Address()] {
-			out = append(out, s)
-		}
-	}
-	return out
-}
--- a/core/process/cluster/tokens_test.go
+++ b/core/process/cluster/tokens_test.go
@@ -12,6 +12,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/connection/session"
 	"github.com/mulberrydale/mulberrydale/core/process/quota"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
@@ -143,3 +145,54 @@
 		in.start(name, in.processes[name].folder, false)
 	}
 }
+
+// rawPeer is an entry VM that has a session to one control VM only.
+type rawPeer struct {
+	grants chan quota.Grant
+	ask    quota.Ask
+}
+
+func (p *rawPeer) Opened(s *session.Session, _ time.Time) {
+	s.Send(peer.Encode(peer.NewPresence("raw", "", "dc-1", "s", 0)))
+	s.Send(peer.Encode(peer.NewTokenRequest(p.ask)))
+}
+
+func (p *rawPeer) Received(_ *session.Session, payload []byte, _ time.Time) {
+	if m, err := peer.Decode(payload); err == nil {
+		if grant, ok := m.(peer.TokenGrant); ok {
+			p.grants <- grant.Grant()
+		}
+	}
+}
+
+func (p *rawPeer) Closed(*session.Session, time.Time) {}
+
+// dialRun runs a dialer.
+type dialRun struct{ dialer *session.Dialer }
+
+func (d *dialRun) run(ctx context.Context) { d.dialer.Run(ctx) }
+
+// A VM that reaches most control VMs but not the leader would get no tokens.
+func TestTokensAreGrantedThroughAnotherControlVM(t *testing.T) {
+	in := newInstallation(t, 3, 0)
+	in.publishDocument("control-0", 1, []byte("rate 40 burst 20"))
+	in.waitForVersion(1)
+	leader := in.leaderOf()
+	var other string
+	for name := range in.processes {
+		if name != leader {
+			other = name
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := &rawPeer{grants: make(chan quota.Grant, 16), ask: quota.NewAsk(1, 0, 0, []quota.TeamAsk{quota.NewTeamAsk("limited", 0, 0, 1, 0)})}
+	go (&dialRun{dialer: session.NewDialer(in.processes[other].address, p)}).run(ctx)
+	select {
+	case grant := <-p.grants:
+		assert.Equal(t, grant.Ask(), uint64(1))
+		assert.Equal(t, grant.Teams()[0].Immediate(), 1)
+	case <-time.After(10 * time.Second):
+		t.Fatal("no grant")
+	}
+}
