replica, cluster: a leader records that it has led for 10 s

After a restart of all control VMs, the owner of the tokens could not know whether owners before the last one still had tokens in use, and granted none to large teams for 3.4 s. The record is one entry in a term, only while there are teams.

--- a/core/process/cluster/tokenowner.go
+++ b/core/process/cluster/tokenowner.go
@@ -44,6 +44,9 @@
 	teams    []routing.Team
 	revision uint64
 	summary  tokenSummary
+	// ledSince is when this VM was first seen to lead in the term of the owner.
+	ledSince bootclock.Time
+	settled  bool
 }
 
 // tokenSummary counts what was granted since the last log line.
@@ -122,12 +125,26 @@
 		now := bootclock.Now()
 		o.owner = quota.NewOwner(l.Term(), o.settings, predecessor, now)
 		o.owner.SetTeams(o.teams, now)
+		o.ledSince = now
+		o.settled = false
 		o.log.Info("this VM grants the tokens of quotas", zap.Uint64("term", l.Term()), zap.Bool("predecessor", exists),
 			zap.Duration("predecessor-since", age), zap.Int("teams", len(o.teams)))
 	}
+	o.settleIfDue()
 	return l
 }
 
+// settleIfDue records in the log once that this VM has led for a time, so that the next
+// owner need not wait for stocks of earlier ones even if all control VMs restart. The caller
+// holds mu.
+func (o *tokenOwner) settleIfDue() {
+	if o.owner == nil || o.settled || len(o.teams) == 0 || bootclock.Now().Sub(o.ledSince) < control.SettledAge {
+		return
+	}
+	o.settled = true
+	o.control.Settle(o.owner.Term())
+}
+
 // answer answers an ask of a holder. It returns false if this VM may not grant, or for an
 // old ask.
 func (o *tokenOwner) answer(holder string, ask quota.Ask) (quota.Grant, bool) {
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -116,7 +116,7 @@
 	state   *replica.State
 }
 
-// event is an input of the loop: a delivery, a proposal or a readRequest.
+// event is an input of the loop: a delivery, a proposal, a readRequest or a settleRequest.
 type event interface{ event() }
 
 // delivery is a message from another replica.
--- a/core/process/control/leadership.go
+++ b/core/process/control/leadership.go
@@ -18,6 +18,24 @@
 	hasQuorumContact bool
 }
 
+// SettledAge is the time for which a leader must have led when it calls Settle. A later
+// leader knows then, even right after its start, that its predecessor led for so long.
+const SettledAge = 10 * time.Second
+
+// settleRequest asks the loop to record that this replica has led for SettledAge.
+type settleRequest struct{ term uint64 }
+
+func (settleRequest) event() {}
+
+// Settle records in the log that this VM has led for SettledAge in a term. It is recorded
+// once in a term; a request that does not fit into the inbox is dropped.
+func (c *Control) Settle(term uint64) {
+	select {
+	case c.inbox <- settleRequest{term: term}:
+	default:
+	}
+}
+
 // Leadership returns the state of the leadership. It is established once the leader has
 // committed an entry of its term.
 func (s Status) Leadership() Leadership { return s.leadership }
@@ -57,8 +75,11 @@
 		return Leadership{}
 	}
 	_, established := c.node.ReadIndex()
-	since, exists := c.node.Predecessor()
+	since, settled, exists := c.node.Predecessor()
 	l := Leadership{established: established, term: c.node.Term(), hasPredecessor: exists, predecessorAge: now.Sub(since)}
+	if settled {
+		l.predecessorAge = max(l.predecessorAge, SettledAge)
+	}
 	l.quorumContact, l.hasQuorumContact = c.suspensions.toBootTime(contact)
 	return l
 }
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -73,6 +73,8 @@
 		c.propose(e, now)
 	case readRequest:
 		c.beginRead(e, now)
+	case settleRequest:
+		c.node.MarkSettled(e.term)
 	}
 }
 
--- a/core/process/placement/fairness_test.go
+++ b/core/process/placement/fairness_test.go
@@ -213,9 +213,8 @@
 	f.SetEntryVMs(1, start)
 	f.SetTargets(newList(1, "dc-1", "dc-1"), start)
 	extras := make(map[string]int)
-	now := start
 	for n := range 2000 {
-		now = start.Add(time.Duration(n) * 5 * time.Millisecond)
+		now := start.Add(time.Duration(n) * 5 * time.Millisecond)
 		team := "calm"
 		if n%2 == 0 {
 			team = "failing"
--- a/core/process/quota/simulation_test.go
+++ b/core/process/quota/simulation_test.go
@@ -69,9 +69,8 @@
 }
 
 type simRequest struct {
-	team    string
-	owed    bool
-	decided bool
+	team string
+	owed bool
 }
 
 // teamCounts counts the requests of a team.
--- a/core/process/replica/election.go
+++ b/core/process/replica/election.go
@@ -148,7 +148,7 @@
 	n.role = Leader
 	n.leader = n.self
 	n.leaderSince = now
-	n.history.lead(n.hardState.term, now)
+	n.history.lead(n.hardState.term, n.log.settledIn, now)
 	n.heartbeatAt = now
 	n.peers = make(map[ID]*progress)
 	n.learners = make(map[ID]Member)
