dispatch: a longer wait for the owner, usual demand without what is beyond the quota

Half of the unsent deadline was 12 ms of an objective of 100 ms, less than a busy VM needs for a round trip between data centres. Requests beyond a quota made a hot team's usual demand grow.

--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -162,16 +162,15 @@
 		service = route.Pick(rand.Float64())
 	}
 	plan := relay.NewPlan(route, service, req, callerNetworkTime)
-	if table.HasTeams() {
-		d.fleet.RecordDemand(teamName(req), len(plan.Services()), req.Arrived())
-	}
 	if refusal, refused := d.admit(plan, req); refused {
+		d.recordDemand(table, plan, req)
 		return refusal, trace
 	}
 	token, refusal, refused := d.takeToken(ctx, plan, req)
 	if refused {
 		return refusal, trace
 	}
+	d.recordDemand(table, plan, req)
 	q := &query{
 		dispatcher: d,
 		token:      token,
--- a/core/process/dispatch/team.go
+++ b/core/process/dispatch/team.go
@@ -5,6 +5,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
 // teamName returns the name of the caller's team. Callers without a key are one team, with
@@ -14,6 +15,14 @@
 	return team.Name()
 }
 
+// recordDemand counts what a request needs towards the usual demand of its team, if the
+// table has teams. Requests beyond the quota of their team do not count.
+func (d *Dispatcher) recordDemand(table *routing.Table, plan relay.Plan, req *relay.Request) {
+	if table.HasTeams() {
+		d.fleet.RecordDemand(teamName(req), len(plan.Services()), req.Arrived())
+	}
+}
+
 // expectedWait returns how long a request would wait in the queue of a service.
 func (d *Dispatcher) expectedWait(service string, plan relay.Plan, req *relay.Request, now time.Time) time.Duration {
 	r := placement.NewLeaseRequest(service, plan.Route().Name()).ForTeam(teamName(req))
--- a/core/process/dispatch/token.go
+++ b/core/process/dispatch/token.go
@@ -14,11 +14,11 @@
 	// tokenWaitFraction is the fraction of the route's objective for which a request
 	// without a token waits for the owner, but at least minTokenWait, which is a few
 	// round trips between data centres.
-	tokenWaitFraction = 0.25
-	minTokenWait      = 25 * time.Millisecond
+	tokenWaitFraction = 0.3
+	minTokenWait      = 30 * time.Millisecond
 	// maxTokenWaitFraction bounds the wait to a fraction of the time in which the
-	// request must be sent.
-	maxTokenWaitFraction = 0.5
+	// request must be answered.
+	maxTokenWaitFraction = 0.4
 )
 
 // TokenSource decides whether a request of a team is within its quota. Exactly one of Spend
@@ -88,6 +88,6 @@
 // tokenWait returns how long a request may wait for the owner.
 func tokenWait(plan relay.Plan, now time.Time) time.Duration {
 	wait := max(minTokenWait, time.Duration(tokenWaitFraction*float64(plan.Route().LatencyObjective())))
-	left := time.Duration(maxTokenWaitFraction * float64(plan.UnsentDeadline().Sub(now)))
+	left := time.Duration(maxTokenWaitFraction * float64(plan.End().Sub(now)))
 	return max(0, min(wait, left))
 }
