--- a/core/process/cluster/rolloutformat.go
+++ b/core/process/cluster/rolloutformat.go
@@ -31,9 +31,22 @@
 	return r != nil && r.presence.UnderstandsRollouts()
 }
 
-// rolloutsDiffer reports whether the versions in use or the rollouts of two routes differ.
+// rolloutsDiffer reports whether a rollout has begun or ended between two routes. Versions
+// that were only recorded do not count: the leader alone publishes these, since the routes
+// have tens of kilobytes.
 func rolloutsDiffer(a, b replica.Routes) bool {
-	return !bytes.Equal(rollout.EncodeRecords(a.Rollouts()), rollout.EncodeRecords(b.Rollouts()))
+	return !bytes.Equal(rollout.EncodeRecords(ordered(a.Rollouts())), rollout.EncodeRecords(ordered(b.Rollouts())))
+}
+
+// ordered returns the records of services of which a rollout was ordered.
+func ordered(records []rollout.Record) []rollout.Record {
+	var out []rollout.Record
+	for _, r := range records {
+		if r.Order() > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // routesPayloads holds encoded routes for peers that understand rollouts and for others.
