exchange, relay: the slowness figure of the load header

Cause: on some installations the load header names, as its fourth field, how long work takes on the target's machine at this moment; it was ignored.

relay.Load has it as a factor. Nothing uses it yet.

--- a/core/connection/exchange/response.go
+++ b/core/connection/exchange/response.go
@@ -189,24 +189,6 @@
 	return 0, false
 }
 
-// parseLoad parses a load header of the form "running,waiting". It returns the
-// zero Load, which means that the load is unknown, if the value is malformed.
-func parseLoad(text string) relay.Load {
-	fields := strings.Split(text, ",")
-	if len(fields) < 2 {
-		return relay.Load{}
-	}
-	running, err := strconv.Atoi(strings.TrimSpace(fields[0]))
-	if err != nil {
-		return relay.Load{}
-	}
-	waiting, err := strconv.Atoi(strings.TrimSpace(fields[1]))
-	if err != nil {
-		return relay.Load{}
-	}
-	return relay.NewLoad(running, waiting)
-}
-
 // hopByHop lists the headers that apply to a single connection, and
 // Content-Length, which is set anew for each message.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -121,11 +121,14 @@
 // if there is none.
 func (r *Response) Signature() string { return r.signature }
 
-// Load is the number of running and waiting requests that a target reports.
+// Load is the number of running and waiting requests that a target reports, and how slow
+// its machine is.
 type Load struct {
 	running int
 	waiting int
 	known   bool
+	// slowness is 0 if it is not known.
+	slowness float64
 }
 
 // NewLoad returns the load that a target reported.
