placement: the weight of a slowness figure by its age

Cause: a VM sees one target about once a second, while targets are slow in spells of 0.6 s, so a figure taken for the present state misleads more often than it helps.

Nothing chooses by it yet.

--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -73,6 +73,9 @@
 	entryVMsSetAt time.Time
 	// late holds the late responses since LateResponses was last called.
 	late []lateResponse
+	// meanSlowness is the moving average of the slowness factors of all targets, 0 if
+	// none has reported one.
+	meanSlowness float64
 }
 
 // group holds the targets of one service, with its retry budget, response times
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -107,6 +107,7 @@
 	// last reported, without those in flight from this VM.
 	reportedLoad   float64
 	reportedLoadAt time.Time
+	slowness       slowness
 	// sends counts the requests of this VM for the limit on cold targets, also while
 	// the target is not cold.
 	sends coldSends
@@ -160,6 +161,7 @@
 	t.downUntil = time.Time{}
 	t.consecutiveFailures = 0
 	t.reportedLoadAt = time.Time{}
+	t.slowness = slowness{}
 }
 
 // overdue reports whether this VM has a request in flight at the target whose
