placement: the cost of another data centre from the link

Cause: a response of a target in another data centre was compared with the median of all targets with its link and the set-up of its connection. The cost of 6 ms was the same for every link.

Now the shortest recent TCP handshake with each data centre gives its link time, which is no part of a target's response time and is added to the time after which a response is overdue. Response times count from the first byte on a new connection.

--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -55,6 +55,9 @@
 	if err != nil {
 		return relay.NewUnsent(result.Wrap(err, result.Unreachable, "connecting to target %s", a.Instance().Address()))
 	}
+	if took, first := conn.FirstUse(); first {
+		a.Connected(took, time.Now())
+	}
 	conn.SetMaxIdle(a.IdleTimeout())
 	x := &roundTrip{conn: conn, names: s.names, attempt: a}
 	// A deadline in the past makes pending reads and writes fail.
--- a/core/connection/upstream/upstream.go
+++ b/core/connection/upstream/upstream.go
@@ -72,6 +72,8 @@
 	lastUsed    time.Time
 	requests    int
 	carried     carriedIDs
+	// handshake is how long the TCP handshake took, 0 once FirstUse has returned it.
+	handshake time.Duration
 }
 
 // Reader returns the buffered reader of the connection.
@@ -86,6 +88,13 @@
 // Requests returns the number of requests that the connection has completed.
 func (c *Conn) Requests() int { return c.requests }
 
+// FirstUse returns how long the TCP handshake took, and true on the first call.
+func (c *Conn) FirstUse() (handshake time.Duration, first bool) {
+	handshake = c.handshake
+	c.handshake = 0
+	return handshake, handshake > 0
+}
+
 // SetTargetIdleTimeout records how long the target keeps an idle connection
 // open. This side uses the connection for idleFraction of that time only.
 func (c *Conn) SetTargetIdleTimeout(d time.Duration) {
@@ -229,10 +238,12 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	startedAt := time.Now()
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	handshake := max(1, time.Since(startedAt))
 	var raw syscall.RawConn
 	if c, ok := conn.(syscall.Conn); ok {
 		if raw, err = c.SyscallConn(); err != nil {
@@ -249,7 +260,7 @@
 		idleTimeout = time.Duration(last)
 	}
 	input := &limitedInput{conn: conn, remaining: -1}
-	return &Conn{Conn: conn, raw: raw, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), pool: p, address: address, idleTimeout: idleTimeout}, nil
+	return &Conn{Conn: conn, raw: raw, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), pool: p, address: address, idleTimeout: idleTimeout, handshake: handshake}, nil
 }
 
 // Warm opens a connection to an address, unless the pool has one, and keeps it idle. The
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -119,7 +119,7 @@
 // attempt ends at the End of the plan and does not derive from the caller's context.
 func (q *query) send(n int, lease *placement.Lease, now time.Time) {
 	plan := q.state.Plan()
-	q.state.RecordSend(n, lease.Target(), q.overdueAfter(n), now)
+	q.state.RecordSend(n, lease.Target(), q.overdueAfter(n, lease), now)
 	q.trace.sends++
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End())
 	q.cancelMu.Lock()
@@ -129,22 +129,23 @@
 	if len(plan.Route().Shards()) > 0 {
 		attempt = attempt.WithWholeResponse()
 	}
-	s := &subRequest{query: q, part: n, lease: lease, cancel: cancel, attempt: attempt}
+	s := &subRequest{query: q, part: n, lease: lease, cancel: cancel}
+	s.attempt = attempt.WithOnConnect(s.connected)
 	q.latest[n] = s
 	go s.run(ctx)
 }
 
 // overdueAfter returns the time after which a response for part n is overdue:
-// the time estimated from recent response times, but at most maxOverdueFraction
+// the time estimated from recent response times and the link, but at most maxOverdueFraction
 // of the route's objective, or defaultOverdueFraction of the objective if there
 // is no estimate.
-func (q *query) overdueAfter(n int) time.Duration {
+func (q *query) overdueAfter(n int, lease *placement.Lease) time.Duration {
 	objective := float64(q.state.Plan().Route().LatencyObjective())
 	delay, known := q.dispatcher.fleet.OverdueAfter(q.state.Plan().Services()[n], q.state.Plan().Route().Name())
 	if !known {
 		return time.Duration(defaultOverdueFraction * objective)
 	}
-	return min(delay, time.Duration(maxOverdueFraction*objective))
+	return min(delay+lease.LinkTime(), time.Duration(maxOverdueFraction*objective))
 }
 
 // deliver passes an outcome to run, or discards it if the query has finished.
@@ -233,7 +234,7 @@
 // was sent.
 func (q *query) sendDue(now time.Time) {
 	for _, n := range q.state.DueHedges(now) {
-		if remaining := q.overdueAfter(n) - q.latest[n].waitedSince(now); remaining > 0 {
+		if remaining := q.overdueAfter(n, q.latest[n].lease) - q.latest[n].waitedSince(now); remaining > 0 {
 			q.state.PostponeHedge(n, now.Add(max(remaining, minHedgePostponement)))
 			continue
 		}
--- a/core/process/dispatch/replay_exchange_test.go
+++ b/core/process/dispatch/replay_exchange_test.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/mulberrydale/mulberrydale/core/process/placement"
-)
+import "time"
 
 // startExchange passes findings between the VMs of a site until a time.
 func (r *siteRun) startExchange(time.Time) {
@@ -14,6 +10,3 @@
 	}
 	go x.run()
 }
-
-// connected reports how long it took to connect to a target.
-func (v *siteVM) connected(*siteTarget, time.Duration) { _ = placement.Limits{} }
--- a/core/process/dispatch/replay_site_test.go
+++ b/core/process/dispatch/replay_site_test.go
@@ -296,11 +296,11 @@
 	s.mostOpen = max(s.mostOpen, s.open[id])
 }
 
-// dial opens a connection to a target, which costs the target time.
-func (v *siteVM) dial(t *siteTarget, purpose int) {
-	startedAt := time.Now()
-	time.Sleep(2 * v.delay(t))
-	v.connected(t, time.Since(startedAt))
+// dial opens a connection to a target, which costs the target time, and returns how long
+// the handshake took.
+func (v *siteVM) dial(t *siteTarget, purpose int) time.Duration {
+	handshake := 2 * v.delay(t)
+	time.Sleep(handshake)
 	v.stats.addOpen(t.id, 1)
 	v.stats.mu.Lock()
 	v.stats.dials[purpose]++
@@ -309,6 +309,7 @@
 	}
 	v.stats.mu.Unlock()
 	t.serve(connectionCost)
+	return handshake
 }
 
 // count counts an attempt and returns 0 for a first one and 1 for a further one.
@@ -342,7 +343,7 @@
 	t := v.targets[a.Instance().ID()]
 	purpose := v.count(a, t)
 	if !v.take(t, now) {
-		v.dial(t, purpose)
+		a.Connected(v.dial(t, purpose), time.Now())
 	}
 	work := 6700 * time.Microsecond
 	if a.Request().Path() == "/"+thoroughRoute {
--- a/core/process/dispatch/subrequest.go
+++ b/core/process/dispatch/subrequest.go
@@ -35,6 +35,12 @@
 	return s.query.request.Elapsed(now) - sentAfter
 }
 
+// connected records a new connection. The response is awaited from now on.
+func (s *subRequest) connected(took time.Duration, now time.Time) {
+	s.lease.Connected(took, now)
+	s.sentAfter.Store(max(1, int64(s.query.request.Elapsed(now))))
+}
+
 // run sends the attempt and delivers its outcome to the query.
 func (s *subRequest) run(ctx context.Context) {
 	now := time.Now()
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -10,10 +10,6 @@
 	// request if fewer than latencyMinSamples response times of that kind have
 	// been measured.
 	defaultResponseTime = 20 * time.Millisecond
-	// remoteCentreCost is added to the expected time of a target in another
-	// data centre: the network round trip and the cost of traffic between data
-	// centres.
-	remoteCentreCost = 6 * time.Millisecond
 	// expectedTimeJitter is the largest fraction by which an expected time is
 	// randomly increased. It spreads requests over nearly equal targets, so
 	// that the VMs don't all choose the same one.
@@ -81,8 +77,8 @@
 // now, including queueing at the target and the expected cost of failures. The
 // result contains random jitter. The median is that of the service for this
 // kind of request, 0 if unknown. If the target is due for a trial request, a
-// slowdown above 1 is ignored. remoteCentreCost is added for targets in other
-// data centres except the preferred one, which may be nil.
+// slowdown above 1 is ignored. The cost of the data centre is added for targets in
+// others except the preferred one, which may be nil.
 func (f *Fleet) expectedTime(t, preferred *Target, median time.Duration, now time.Time) time.Duration {
 	if median <= 0 {
 		median = defaultResponseTime
@@ -99,7 +95,7 @@
 	}
 	estimate += time.Duration(t.errorRate * float64(errorCost))
 	if t != preferred && t.instance.DataCentre() != f.ownCentre {
-		estimate += remoteCentreCost
+		estimate += f.centreCost(t)
 	}
 	return time.Duration(float64(estimate) * (1 + expectedTimeJitter*rand.Float64()))
 }
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -66,6 +66,8 @@
 	changes      []TargetChange
 	outOfService map[string]bool
 	reachability map[string]*centreReachability
+	// handshakes has the shortest TCP handshakes by data centre.
+	handshakes map[string]*shortestHandshake
 	// entryVMs is the number of VMs that share the targets, 1 while it is not known.
 	entryVMs int
 	// entryVMsSetAt is when SetEntryVMs last took effect, which is when entryVMs
@@ -107,6 +109,7 @@
 		times:        NewTargetTimes(defaultListLag, defaultDrainTimeout),
 		outOfService: make(map[string]bool),
 		reachability: make(map[string]*centreReachability),
+		handshakes:   make(map[string]*shortestHandshake),
 		entryVMs:     1,
 	}
 }
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -26,6 +26,8 @@
 	// or a streamed response has begun.
 	overdueAt   time.Time
 	idleTimeout time.Duration
+	// link is the link time when the lease was granted.
+	link time.Duration
 	// streamingSince is when a streamed response began. It is zero if no
 	// response has begun yet or if the response was received whole.
 	streamingSince time.Time
@@ -56,8 +58,9 @@
 // overdue is multiplied by the slowdown. The caller holds f.mu.
 func (f *Fleet) grant(g *group, t *Target, kind string, charged bool, now time.Time) *Lease {
 	l := &Lease{fleet: f, target: t, instance: t.instance, run: t.run, kind: kind, charged: charged, sentAt: now, idleTimeout: f.idleTimeout(g, t)}
+	l.link, _ = f.linkTime(t)
 	if stats := g.latency(kind); stats.known() {
-		l.overdueAt = now.Add(max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now))))
+		l.overdueAt = now.Add(l.link + max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now))))
 	}
 	t.inFlight[l] = struct{}{}
 	t.lastSentAt = now
@@ -166,7 +169,8 @@
 }
 
 // OverdueAfter returns the time after which a response to a kind of request is
-// overdue, or false if there are too few responses to estimate it.
+// overdue, without the link to another data centre, or false if there are too few
+// responses to estimate it.
 func (f *Fleet) OverdueAfter(service, kind string) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -179,10 +183,7 @@
 func (l *Lease) Sent(now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	if !l.overdueAt.IsZero() {
-		l.overdueAt = l.overdueAt.Add(now.Sub(l.sentAt))
-	}
-	l.sentAt = now
+	l.restart(now)
 }
 
 // release removes the request from those in flight and serves the queue. The
@@ -213,6 +214,7 @@
 	if !l.streamingSince.IsZero() {
 		responseTime = l.streamingSince.Sub(l.sentAt)
 	}
+	responseTime = l.workTime(responseTime)
 	l.recordResponse(responseTime, now)
 	if l.run == l.target.run && !l.target.waiting(now) {
 		l.target.resumes = false
@@ -271,7 +273,7 @@
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	if !l.overdueAt.IsZero() && now.After(l.overdueAt) {
-		l.recordResponse(now.Sub(l.sentAt), now)
+		l.recordResponse(l.workTime(now.Sub(l.sentAt)), now)
 	}
 	l.release(now)
 }
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -22,6 +22,7 @@
 	atMostOnce         bool
 	needsWholeResponse bool
 	idleTimeout        time.Duration
+	onConnect          func(took time.Duration, now time.Time)
 }
 
 // NewAttempt returns the send of a request to a target that must answer by the
@@ -49,6 +50,21 @@
 // 0 if it is kept until the target closes it.
 func (a Attempt) IdleTimeout() time.Duration { return a.idleTimeout }
 
+// WithOnConnect returns a copy of the attempt with a function that is told of a new
+// connection just before the request is written to it: how long its TCP handshake took.
+func (a Attempt) WithOnConnect(onConnect func(took time.Duration, now time.Time)) Attempt {
+	a.onConnect = onConnect
+	return a
+}
+
+// Connected records that the request is the first one on a connection whose TCP handshake
+// took a time.
+func (a Attempt) Connected(took time.Duration, now time.Time) {
+	if a.onConnect != nil {
+		a.onConnect(took, now)
+	}
+}
+
 // NeedsWholeResponse reports whether a response that was not read completely is
 // useless.
 func (a Attempt) NeedsWholeResponse() bool { return a.needsWholeResponse }
