placement: the expected time of a target follows its slowness figure

Cause: a spell of 0.6 s in which a machine takes 2.5 times as long was taken for a slow target: the VMs found it within half a second and avoided it when it was normal again.

The expected time is multiplied by the slowness that the figure lets expect now, and what the figure explains of a response time, up to three times the median, does not count against the health of the target. Hedges go to the least expected time by the same rule. Without the fourth field nothing changes.

--- a/core/process/dispatch/subrequest.go
+++ b/core/process/dispatch/subrequest.go
@@ -100,18 +100,14 @@
 	}
 	switch o := outcome.(type) {
 	case relay.Answered:
-		if o.Load().Known() {
-			s.lease.ReportLoad(o.Load().Running(), o.Load().Waiting(), now)
-		}
+		s.reportLoad(o.Load(), now)
 		if o.Response().Status() >= 500 {
 			s.lease.Failed(now)
 		} else {
 			s.lease.Succeeded(now)
 		}
 	case relay.Declined:
-		if o.Load().Known() {
-			s.lease.ReportLoad(o.Load().Running(), o.Load().Waiting(), now)
-		}
+		s.reportLoad(o.Load(), now)
 		s.lease.Refused(o.Misdirected(), now)
 	case relay.Unsent:
 		if ctx.Err() != nil && s.query.isFinished() {
@@ -128,6 +124,16 @@
 	}
 }
 
+// reportLoad passes on what the target reported of its load and its machine.
+func (s *subRequest) reportLoad(load relay.Load, now time.Time) {
+	if load.Known() {
+		s.lease.ReportLoad(load.Running(), load.Waiting(), now)
+	}
+	if factor, known := load.Slowness(); known {
+		s.lease.ReportSlowness(factor, now)
+	}
+}
+
 // releaseUnanswered ends the lease of an attempt that got no connection or no
 // usable response. overLimit means that the target reset the connection because
 // of its connection limit.
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -74,7 +74,8 @@
 }
 
 // expectedTime returns the estimated time to the response of a request sent
-// now, including queueing at the target and the expected cost of failures. The
+// now, including queueing at the target, the slowness of its machine and the
+// expected cost of failures. The
 // result contains random jitter. The median is that of the service for this
 // kind of request, 0 if unknown. If the target is due for a trial request, a
 // slowdown above 1 is ignored. The cost of the data centre is added for targets in
@@ -87,7 +88,7 @@
 	if f.trialDue(t, now) {
 		slowdown = min(slowdown, 1)
 	}
-	estimate := time.Duration(float64(median) * slowdown)
+	estimate := time.Duration(float64(median) * slowdown * f.expectedSlowness(t, now))
 	slots := max(t.instance.Slots(), 1)
 	load := float64(len(t.inFlight)) + t.decayedLoad(now)
 	if excess := load - float64(slots) + 1; excess > 0 {
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -279,9 +279,12 @@
 }
 
 // recordResponse updates the health of the target with a response time, and keeps a
-// late response for LateResponses. The caller holds l.fleet.mu.
+// late response for LateResponses. What the slowness figure of the target explains does
+// not count against it: its machine may be normal again before other VMs know. The caller holds l.fleet.mu.
 func (l *Lease) recordResponse(responseTime time.Duration, now time.Time) {
-	late := l.target.recordResponse(responseTime, l.target.group.latency(l.kind).median, now)
+	median := l.target.group.latency(l.kind).median
+	median = time.Duration(float64(median) * l.fleet.transientSlowness(l.target, now))
+	late := l.target.recordResponse(responseTime, median, now)
 	l.target.lastObservedAt = now
 	if late {
 		l.fleet.addLate(l.target, now)
