cluster: the VMs of a data centre share the slowness of targets

Cause: an entry VM sees the target of its data centre once in 0.8 s, and a figure helps for 50 to 800 ms; the VMs of a data centre together see it 30 times a second.

An entry VM reports changes, 20 times a second at most, to one control VM of its data centre, which sends the latest of each target to the entry VMs that report themselves. Message kind 40, in a file of its own. Nothing is sent to other data centres, nor on an installation without figures.

--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -71,6 +71,9 @@
 	case Unchanged:
 		enc.Uint(wireUnchanged)
 		encodeUnchanged(enc, m)
+	case TargetSlowness:
+		enc.Uint(wireTargetSlowness)
+		encodeTargetSlowness(enc, m)
 	}
 	return enc.Payload()
 }
@@ -107,6 +110,8 @@
 		out = decodeLateResponses(dec)
 	case wireUnchanged:
 		out = decodeUnchanged(dec)
+	case wireTargetSlowness:
+		out = decodeTargetSlowness(dec)
 	default:
 		dec.Fail("unknown message kind")
 	}
--- a/core/connection/peer/message.go
+++ b/core/connection/peer/message.go
@@ -8,8 +8,8 @@
 
 // Message is a message between processes: Hello, Heartbeat, ReplicaMessage,
 // ConfigurationPush, ForwardedCommand, Reply, TargetUpdates, Presence,
-// PublishedRoutes, ReadRoutes, TargetList, LateResponses or
-// Unchanged.
+// PublishedRoutes, ReadRoutes, TargetList, LateResponses,
+// Unchanged or TargetSlowness.
 type Message interface{ message() }
 
 // Hello identifies the sender; it is the first message of each connection of
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -36,6 +36,7 @@
 	}, []string{"i-2"})),
 	peer.NewLateResponses([]discovery.LateResponse{discovery.NewLateResponse("i-1", time.Second, 25*time.Millisecond)}),
 	peer.NewUnchanged(4, time.Second),
+	peer.NewTargetSlowness([]discovery.Slowness{discovery.NewSlowness("i-1", 2.5, 30*time.Millisecond)}),
 }
 
 func TestMessageRoundTrip(t *testing.T) {
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -138,6 +138,7 @@
 	// entryVMSeen from each entry VM.
 	dataCentreSeen map[string]time.Time
 	entryVMSeen    map[string]time.Time
+	slowness       slownessState
 }
 
 // New returns the cluster of the process self. The seeds are the addresses of the
@@ -155,6 +156,7 @@
 		health:         health.NewTable(),
 		dataCentreSeen: make(map[string]time.Time),
 		entryVMSeen:    make(map[string]time.Time),
+		slowness:       newSlownessState(),
 	}
 }
 
@@ -186,6 +188,9 @@
 		go (&publishLoop{cluster: c}).run(ctx)
 	}
 	go (&readLoop{cluster: c}).run(ctx)
+	if c.control != nil || c.slowness.source != nil {
+		go (&slownessLoop{cluster: c}).run(ctx)
+	}
 	switch {
 	case c.control != nil:
 		go (&findingsLoop{cluster: c}).run(ctx)
--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -127,6 +127,7 @@
 	cluster  *cluster.Cluster
 	observer *recordingObserver
 	findings *fakeFindings
+	slowness fakeSlowness
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -231,6 +232,7 @@
 		assert.NilError(in.t, p.cluster.EnableControl(folder, 3, time.Now()))
 	} else {
 		p.cluster.SetFindingSource(p.findings)
+		p.cluster.SetSlownessSource(&p.slowness)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -52,6 +52,8 @@
 		c.receiveUnchanged(s, m, now)
 	case peer.LateResponses:
 		c.receiveLate(m, now)
+	case peer.TargetSlowness:
+		c.receiveSlowness(s, m, now)
 	case peer.TargetList:
 		c.receiveList(s, m, now)
 	case peer.ForwardedCommand:
--- a/core/process/dispatch/replay_site_test.go
+++ b/core/process/dispatch/replay_site_test.go
@@ -26,8 +26,8 @@
 	siteReplicas     = 3
 	siteSlots        = 2
 	siteConnections  = 72
-	siteDuration     = 8 * time.Second
-	siteWarmUp       = 2 * time.Second
+	siteDuration     = 11 * time.Second
+	siteWarmUp       = 4 * time.Second
 	localLink        = 200 * time.Microsecond
 	connectionCost   = 6 * time.Millisecond
 	targetIdle       = 7500 * time.Millisecond
@@ -40,6 +40,7 @@
 	sitePause        = 120 * time.Millisecond
 	sitePausePeriod  = 10 * time.Second
 	siteWindow       = time.Second
+	seriesBin        = 500 * time.Millisecond
 	urgentShare      = 0.6
 	urgentRoute      = "urgent"
 	thoroughRoute    = "thorough"
@@ -61,6 +62,9 @@
 	uneven  bool
 	noisy   bool
 	figures bool
+	// sharing is the interval at which the VMs of a data centre report the slowness of
+	// targets, 0 if they don't.
+	sharing time.Duration
 	// duration is siteDuration if 0.
 	duration time.Duration
 }
@@ -163,7 +167,11 @@
 	open     map[string]int
 	mostOpen int
 	kinds    map[string]*kindStats
-	windows  map[int]*kindStats
+	// series counts the first attempts of the VMs of the first data centre in each
+	// seriesBin, local and remote.
+	series    [64][2]int
+	startedAt time.Time
+	windows   map[int]*kindStats
 }
 
 // kindStats counts the answers of one kind of request or of one window.
@@ -331,11 +339,33 @@
 		v.stats.extras[remote]++
 	} else {
 		v.stats.firsts[remote]++
+		if bin := int(time.Since(v.stats.startedAt) / seriesBin); v.centre == centreName(0) && bin < len(v.stats.series) {
+			v.stats.series[bin][remote]++
+		}
 	}
 	v.stats.bytes[purpose] += remote * (requestBytes + responseBytes)
 	return purpose
 }
 
+// spill returns the share of first attempts of the first data centre that go to others, in
+// percent, for each seriesBin.
+func (s *siteStats) spill() []int {
+	var out []int
+	for _, b := range s.series {
+		if b[0]+b[1] > 0 {
+			out = append(out, 100*b[1]/(b[0]+b[1]))
+		}
+	}
+	return out
+}
+
+// reset starts the counts of sends, connections and bytes again.
+func (s *siteStats) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firsts, s.extras, s.dials, s.bytes = [2]int{}, [2]int{}, [3]int{}, [3]int{}
+}
+
 // instanceService returns the name of the target's service.
 func (t *siteTarget) instanceService() string { return t.id[:len(t.id)-2] }
 
@@ -391,11 +421,12 @@
 
 // siteRun is a replay that runs.
 type siteRun struct {
-	site  site
-	rng   *rand.Rand
-	vms   []*siteVM
-	stats *siteStats
-	wg    sync.WaitGroup
+	site      site
+	rng       *rand.Rand
+	vms       []*siteVM
+	stats     *siteStats
+	wg        sync.WaitGroup
+	exchanges []*slownessExchange
 }
 
 // siteRoutes returns the routes of a site, with the objectives less the time that callers
@@ -415,7 +446,7 @@
 // newSiteRun returns a replay with the VMs and targets of a site.
 func newSiteRun(s site, seed uint64) *siteRun {
 	now := time.Now()
-	r := &siteRun{site: s, rng: rand.New(rand.NewPCG(seed, 11)), stats: &siteStats{open: make(map[string]int), kinds: make(map[string]*kindStats), windows: make(map[int]*kindStats)}}
+	r := &siteRun{site: s, rng: rand.New(rand.NewPCG(seed, 11)), stats: &siteStats{startedAt: now, open: make(map[string]int), kinds: make(map[string]*kindStats), windows: make(map[int]*kindStats)}}
 	targets, addresses := make(map[string]*siteTarget), make(map[string]*siteTarget)
 	var instances []discovery.Instance
 	var services []routing.Service
@@ -473,6 +504,7 @@
 		go v.warm(startedAt.Add(r.site.length()))
 	}
 	r.startExchange(startedAt.Add(r.site.length()))
+	time.AfterFunc(siteWarmUp, r.stats.reset)
 	for n := 0; time.Since(startedAt) < r.site.length(); n++ {
 		time.Sleep(time.Duration(r.rng.ExpFloat64() / r.site.rate * float64(time.Second)))
 		elapsed := time.Since(startedAt)
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -62,6 +62,7 @@
 func (e *Entry) SetCluster(c *cluster.Cluster) {
 	e.cluster = c
 	c.SetFindingSource(e.fleet)
+	c.SetSlownessSource(e.fleet)
 }
 
 // Handler returns the HTTP handler for the requests of callers.
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -78,6 +78,8 @@
 	// meanSlowness is the moving average of the slowness factors of all targets, 0 if
 	// none has reported one.
 	meanSlowness float64
+	// slownessReports holds the targets whose slowness is reported next.
+	slownessReports []*Target
 }
 
 // group holds the targets of one service, with its retry budget, response times
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -108,6 +108,9 @@
 	reportedLoad   float64
 	reportedLoadAt time.Time
 	slowness       slowness
+	sharedSlowness sharedSlowness
+	// openUntil is until when a connection of this VM to the target is probably open.
+	openUntil time.Time
 	// sends counts the requests of this VM for the limit on cold targets, also while
 	// the target is not cold.
 	sends coldSends
