placement: a second connection for hedges, and an allowance for new connections

Cause: where connections are scarce, one to a target that the VM does not prefer was kept for 2 s, while hedges of one VM for a shard are 10 s apart, by turns to two targets: nearly each opened a connection, whose 6 ms at the target made the response late.

A VM keeps a connection to one second choice for 8 s, if two for each VM fit into 0.85 of the limit. Without an open connection a target of another data centre costs its handshake and 6 ms more, a response on a new one may take 6 ms longer, and a response is overdue later by the slowness that is known.

--- a/core/process/dispatch/subrequest.go
+++ b/core/process/dispatch/subrequest.go
@@ -35,10 +35,11 @@
 	return s.query.request.Elapsed(now) - sentAfter
 }
 
-// connected records a new connection. The response is awaited from now on.
+// connected records a new connection. The response is awaited from now on, and the time
+// that the target needs for the connection is allowed for.
 func (s *subRequest) connected(took time.Duration, now time.Time) {
 	s.lease.Connected(took, now)
-	s.sentAfter.Store(max(1, int64(s.query.request.Elapsed(now))))
+	s.sentAfter.Store(max(1, int64(s.query.request.Elapsed(now)+placement.ConnectTime)))
 }
 
 // run sends the attempt and delivers its outcome to the query.
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -96,7 +96,7 @@
 	}
 	estimate += time.Duration(t.errorRate * float64(errorCost))
 	if t != preferred && t.instance.DataCentre() != f.ownCentre {
-		estimate += f.centreCost(t)
+		estimate += f.centreCost(t) + f.connectCost(t, now)
 	}
 	return time.Duration(float64(estimate) * (1 + expectedTimeJitter*rand.Float64()))
 }
--- a/core/process/placement/connections.go
+++ b/core/process/placement/connections.go
@@ -101,6 +101,8 @@
 		return 0
 	case t.instance.DataCentre() == f.ownCentre || t == f.preferredRemote(g):
 		return 0
+	case t == f.secondChoice(g) && f.mayKeepSecond(g):
+		return secondIdleTimeout
 	}
 	return spareIdleTimeout
 }
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -26,8 +26,10 @@
 	// or a streamed response has begun.
 	overdueAt   time.Time
 	idleTimeout time.Duration
-	// link is the link time when the lease was granted.
-	link time.Duration
+	// slowness is the slowness that was expected of the target, at least 1, and link the
+	// link time when the lease was granted.
+	slowness float64
+	link     time.Duration
 	// streamingSince is when a streamed response began. It is zero if no
 	// response has begun yet or if the response was received whole.
 	streamingSince time.Time
@@ -59,8 +61,9 @@
 func (f *Fleet) grant(g *group, t *Target, kind string, charged bool, now time.Time) *Lease {
 	l := &Lease{fleet: f, target: t, instance: t.instance, run: t.run, kind: kind, charged: charged, sentAt: now, idleTimeout: f.idleTimeout(g, t)}
 	l.link, _ = f.linkTime(t)
+	l.slowness = max(1, f.expectedSlowness(t, now))
 	if stats := g.latency(kind); stats.known() {
-		l.overdueAt = now.Add(l.link + max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now))))
+		l.overdueAt = now.Add(l.Late(max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now)))))
 	}
 	t.inFlight[l] = struct{}{}
 	t.lastSentAt = now
@@ -190,6 +193,7 @@
 // caller holds l.fleet.mu.
 func (l *Lease) release(now time.Time) {
 	delete(l.target.inFlight, l)
+	l.target.recordOpen(l.idleTimeout, now)
 	l.target.group.queue.recordCompletion(now)
 	l.fleet.grantWaiting(l.target.group, now)
 }
@@ -220,7 +224,8 @@
 		l.target.resumes = false
 	}
 	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends = 0
-	l.target.group.addResponseTime(l.kind, responseTime)
+	usual := float64(responseTime) / l.fleet.transientSlowness(l.target, now)
+	l.target.group.addResponseTime(l.kind, time.Duration(usual))
 	l.release(now)
 }
 
--- a/core/process/placement/link.go
+++ b/core/process/placement/link.go
@@ -87,6 +87,9 @@
 	}
 	f.handshakes[centre].add(took, now)
 	l.restart(now)
+	if !l.overdueAt.IsZero() {
+		l.overdueAt = l.overdueAt.Add(ConnectTime)
+	}
 }
 
 // restart counts the response time from now. The caller holds l.fleet.mu.
@@ -97,9 +100,11 @@
 	l.sentAt = now
 }
 
-// LinkTime returns the time that the response takes longer because its target is in
-// another data centre, 0 if that is not known.
-func (l *Lease) LinkTime() time.Duration { return l.link }
+// Late returns the time after which the response is overdue, from the time after which one
+// of a usual target in the own data centre is.
+func (l *Lease) Late(usual time.Duration) time.Duration {
+	return l.link + time.Duration(float64(usual)*l.slowness)
+}
 
 // workTime returns a response time without the link to the target's data centre. The
 // caller holds l.fleet.mu.
