--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -37,6 +37,8 @@
 	// isolated is set while data centres are unreachable and
 	// dispatch.Dispatcher.Servable reports false.
 	isolated atomic.Bool
+	// links is used by updateMembership only.
+	links linkLog
 }
 
 // RouteDecoder decodes and validates a document of routes.
@@ -192,6 +194,7 @@
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
 	e.gateway.telemetry.recordTargetChanges(e.fleet.TakeChanges())
+	e.links.write(e.fleet.LinkTimes(), e.log)
 	isolated := len(unreachable) > 0 && !e.dispatcher.Servable(now)
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("target reachability changed", zap.Bool("isolated", isolated), zap.Strings("data-centres", unreachable))
--- a/core/process/placement/link.go
+++ b/core/process/placement/link.go
@@ -50,7 +50,11 @@
 // linkTime returns the time that a response of a target takes longer because it is in
 // another data centre, or false if that is not known yet. The caller holds f.mu.
 func (f *Fleet) linkTime(t *Target) (time.Duration, bool) {
-	centre := t.instance.DataCentre()
+	return f.linkTimeTo(t.instance.DataCentre())
+}
+
+// linkTimeTo is linkTime for all targets of a data centre. The caller holds f.mu.
+func (f *Fleet) linkTimeTo(centre string) (time.Duration, bool) {
 	if centre == f.ownCentre {
 		return 0, true
 	}
@@ -112,3 +116,16 @@
 	link, _ := l.fleet.linkTime(l.target)
 	return max(responseTime-link, 0)
 }
+
+// LinkTimes returns the link times to the other data centres that are known.
+func (f *Fleet) LinkTimes() map[string]time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]time.Duration)
+	for centre := range f.handshakes {
+		if centre != f.ownCentre {
+			out[centre], _ = f.linkTimeTo(centre)
+		}
+	}
+	return out
+}
--- a/core/process/placement/sharing.go
+++ b/core/process/placement/sharing.go
@@ -53,6 +53,10 @@
 	defer f.mu.Unlock()
 	var out []discovery.Slowness
 	for _, t := range f.slownessReports {
+		if !t.slowness.known() {
+			// A new run of the target has begun.
+			continue
+		}
 		out = append(out, discovery.NewSlowness(t.id, t.slowness.latest, now.Sub(t.slowness.at)))
 	}
 	f.slownessReports = f.slownessReports[:0]
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -165,6 +165,8 @@
 	t.consecutiveFailures = 0
 	t.reportedLoadAt = time.Time{}
 	t.slowness = slowness{}
+	t.sharedSlowness = sharedSlowness{}
+	t.openUntil = time.Time{}
 }
 
 // overdue reports whether this VM has a request in flight at the target whose
