--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -95,6 +95,9 @@
 	case TokenGrant:
 		enc.Uint(wireTokenGrant)
 		encodeTokenGrant(enc, m)
+	case TargetSlowness:
+		enc.Uint(wireTargetSlowness)
+		encodeTargetSlowness(enc, m)
 	}
 	return enc.Payload()
 }
@@ -143,6 +146,8 @@
 		out = decodeTokenRequest(dec)
 	case wireTokenGrant:
 		out = decodeTokenGrant(dec)
+	case wireTargetSlowness:
+		out = decodeTargetSlowness(dec)
 	default:
 		dec.Fail("unknown message kind")
 	}
--- a/core/connection/peer/message.go
+++ b/core/connection/peer/message.go
@@ -9,8 +9,8 @@
 // Message is a message between processes: Hello, Heartbeat, ReplicaMessage,
 // ConfigurationPush, ForwardedCommand, Reply, TargetUpdates, Presence,
 // PublishedRoutes, ReadRoutes, TargetList, LateResponses, Unchanged,
-// ConfirmRevision, RevisionConfirmed, RolloutReports, RolloutGrants, TokenRequest or
-// TokenGrant.
+// ConfirmRevision, RevisionConfirmed, RolloutReports, RolloutGrants, TokenRequest,
+// TokenGrant or TargetSlowness.
 type Message interface{ message() }
 
 // Hello identifies the sender; it is the first message of each connection of
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -41,6 +41,7 @@
 	peer.NewRevisionConfirmed(7, 3, 120*time.Millisecond),
 	peer.NewTokenRequest(quota.NewAsk(7, 3, 6, []quota.TeamAsk{quota.NewTeamAsk("t-1", 1, 2, 3, 4)})).OnBehalfOf("vm-1/s"),
 	peer.NewTokenGrant(quota.NewGrant(3, 8, 7, true, []quota.TeamGrant{quota.NewTeamGrant("t-1", 1, 2, true, time.Second)})).For("vm-1/s"),
+	peer.NewTargetSlowness([]discovery.Slowness{discovery.NewSlowness("i-1", 2.5, 30*time.Millisecond)}),
 }
 
 func TestMessageRoundTrip(t *testing.T) {
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -144,6 +144,7 @@
 	dataCentreSeen map[string]time.Time
 	entryVMSeen    map[string]time.Time
 	confirming     confirming
+	slowness       slownessState
 }
 
 // New returns the cluster of the process self. The seeds are the addresses of the
@@ -162,6 +163,7 @@
 		dataCentreSeen: make(map[string]time.Time),
 		entryVMSeen:    make(map[string]time.Time),
 		confirming:     newConfirming(),
+		slowness:       newSlownessState(),
 	}
 	c.rollouts.init()
 	return c
@@ -199,6 +201,9 @@
 		go (&reportLoop{cluster: c}).run(ctx)
 	}
 	go (&readLoop{cluster: c}).run(ctx)
+	if c.control != nil || c.slowness.source != nil {
+		go (&slownessLoop{cluster: c}).run(ctx)
+	}
 	switch {
 	case c.control != nil:
 		go (&findingsLoop{cluster: c}).run(ctx)
--- a/core/process/cluster/cluster_test.go
+++ b/core/process/cluster/cluster_test.go
@@ -132,6 +132,7 @@
 	cluster  *cluster.Cluster
 	observer *recordingObserver
 	findings *fakeFindings
+	slowness fakeSlowness
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -237,6 +238,7 @@
 		assert.NilError(in.t, p.cluster.EnableControl(folder, 3, time.Now()))
 	} else {
 		p.cluster.SetFindingSource(p.findings)
+		p.cluster.SetSlownessSource(&p.slowness)
 	}
 	p.cluster.EnableQuotas(quota.NewSettings(5*time.Second, 0.1, 20), decodeTestTeams)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/core/process/dispatch/subrequest.go
+++ b/core/process/dispatch/subrequest.go
@@ -35,6 +35,13 @@
 	return s.query.request.Elapsed(now) - sentAfter
 }
 
+// connected records a new connection. The response is awaited from now on, and the time
+// that the target needs for the connection is allowed for.
+func (s *subRequest) connected(took time.Duration, now time.Time) {
+	s.lease.Connected(took, now)
+	s.sentAfter.Store(max(1, int64(s.query.request.Elapsed(now)+placement.ConnectTime)))
+}
+
 // run sends the attempt and delivers its outcome to the query.
 func (s *subRequest) run(ctx context.Context) {
 	defer s.query.request.Release()
@@ -95,18 +102,14 @@
 	}
 	switch o := outcome.(type) {
 	case relay.Answered:
-		if o.Load().Known() {
-			s.lease.ReportLoad(o.Load().Running(), o.Load().Waiting(), now)
-		}
+		s.reportLoad(o.Load(), now)
 		if o.Response().Status() >= 500 {
 			s.lease.Failed(now)
 		} else {
 			s.lease.Succeeded(now)
 		}
 	case relay.Declined:
-		if o.Load().Known() {
-			s.lease.ReportLoad(o.Load().Running(), o.Load().Waiting(), now)
-		}
+		s.reportLoad(o.Load(), now)
 		s.lease.Refused(o.Misdirected(), now)
 	case relay.Unsent:
 		if ctx.Err() != nil && s.query.isFinished() {
@@ -123,6 +126,16 @@
 	}
 }
 
+// reportLoad passes on what the target reported of its load and its machine.
+func (s *subRequest) reportLoad(load relay.Load, now time.Time) {
+	if load.Known() {
+		s.lease.ReportLoad(load.Running(), load.Waiting(), now)
+	}
+	if factor, known := load.Slowness(); known {
+		s.lease.ReportSlowness(factor, now)
+	}
+}
+
 // releaseUnanswered ends the lease of an attempt that got no connection or no
 // usable response. overLimit means that the target reset the connection because
 // of its connection limit.
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -49,6 +49,8 @@
 	wasConfirmed bool
 	// countedTokens is used by updateTokens only.
 	countedTokens cluster.TokenStats
+	// links is used by updateMembership only.
+	links linkLog
 }
 
 // RouteDecoder decodes and validates a document of routes.
@@ -80,6 +82,7 @@
 	if tokens := c.Tokens(); tokens != nil {
 		e.dispatcher.SetTokens(tokens)
 	}
+	c.SetSlownessSource(e.fleet)
 }
 
 // SetStrictRevocation sets whether keys are accepted only while the routes are confirmed to
@@ -238,6 +241,7 @@
 	e.gateway.telemetry.recordTargetChanges(e.fleet.TakeChanges())
 	e.watchConfirmation(bootclock.Now())
 	e.gateway.telemetry.recordRolloutRequests(e.fleet.TakeRolloutRequests())
+	e.links.write(e.fleet.LinkTimes(), e.log)
 	isolated := len(unreachable) > 0 && !e.dispatcher.Servable(now)
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("target reachability changed", zap.Bool("isolated", isolated), zap.Strings("data-centres", unreachable))
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -67,6 +67,8 @@
 	changes      []TargetChange
 	outOfService map[string]bool
 	reachability map[string]*centreReachability
+	// handshakes has the shortest TCP handshakes by data centre.
+	handshakes map[string]*shortestHandshake
 	// entryVMs is the number of VMs that share the targets, 1 while it is not known.
 	entryVMs int
 	// entryVMsSetAt is when SetEntryVMs last took effect, which is when entryVMs
@@ -85,6 +87,11 @@
 	bootNow func() bootclock.Time
 	// fairness decides between the teams whose requests wait.
 	fairness fairness
+	// meanSlowness is the moving average of the slowness factors of all targets, 0 if
+	// none has reported one.
+	meanSlowness float64
+	// slownessReports holds the targets whose slowness is reported next.
+	slownessReports []*Target
 }
 
 // group holds the targets of one service, with its retry budget, response times
@@ -119,6 +126,7 @@
 		times:        NewTargetTimes(defaultListLag, defaultDrainTimeout),
 		outOfService: make(map[string]bool),
 		reachability: make(map[string]*centreReachability),
+		handshakes:   make(map[string]*shortestHandshake),
 		entryVMs:     1,
 		bootNow:      bootclock.Now,
 		fairness:     newFairness(),
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -28,6 +28,10 @@
 	// or a streamed response has begun.
 	overdueAt   time.Time
 	idleTimeout time.Duration
+	// slowness is the slowness that was expected of the target, at least 1, and link the
+	// link time when the lease was granted.
+	slowness float64
+	link     time.Duration
 	// streamingSince is when a streamed response began. It is zero if no
 	// response has begun yet or if the response was received whole.
 	streamingSince time.Time
@@ -65,8 +69,10 @@
 func (f *Fleet) grant(g *group, t *Target, r LeaseRequest, now time.Time) *Lease {
 	l := &Lease{fleet: f, target: t, instance: t.instance, run: t.run, kind: r.kind, team: r.team, charged: r.charged, sentAt: now, idleTimeout: f.idleTimeout(g, t)}
 	f.fairness.recordServed(r.team, 1, now)
+	l.link, _ = f.linkTime(t)
+	l.slowness = max(1, f.expectedSlowness(t, now))
 	if stats := g.latency(r.kind); stats.known() {
-		l.overdueAt = now.Add(max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now))))
+		l.overdueAt = now.Add(l.Late(max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now)))))
 	}
 	t.inFlight[l] = struct{}{}
 	t.lastSentAt = now
@@ -202,7 +208,8 @@
 }
 
 // OverdueAfter returns the time after which a response to a kind of request is
-// overdue, or false if there are too few responses to estimate it.
+// overdue, without the link to another data centre, or false if there are too few
+// responses to estimate it.
 func (f *Fleet) OverdueAfter(service, kind string) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -215,16 +222,14 @@
 func (l *Lease) Sent(now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	if !l.overdueAt.IsZero() {
-		l.overdueAt = l.overdueAt.Add(now.Sub(l.sentAt))
-	}
-	l.sentAt = now
+	l.restart(now)
 }
 
 // release removes the request from those in flight and serves the queue. The
 // caller holds l.fleet.mu.
 func (l *Lease) release(now time.Time) {
 	delete(l.target.inFlight, l)
+	l.target.recordOpen(l.idleTimeout, now)
 	l.target.group.queue.recordCompletion(now)
 	l.fleet.grantWaiting(l.target.group, now)
 }
@@ -251,12 +256,14 @@
 	if !l.streamingSince.IsZero() {
 		responseTime = l.streamingSince.Sub(l.sentAt)
 	}
+	responseTime = l.workTime(responseTime)
 	l.recordResponse(responseTime, now)
 	if l.run == l.target.run && !l.target.waiting(now) {
 		l.target.resumes = false
 	}
 	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends = 0
-	l.target.group.addResponseTime(l.kind, responseTime)
+	usual := float64(responseTime) / l.fleet.transientSlowness(l.target, now)
+	l.target.group.addResponseTime(l.kind, time.Duration(usual))
 	l.countResponse(responseTime)
 	l.release(now)
 }
@@ -314,16 +321,19 @@
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	if !l.overdueAt.IsZero() && now.After(l.overdueAt) {
-		l.recordResponse(now.Sub(l.sentAt), now)
-		l.countResponse(now.Sub(l.sentAt))
+		l.recordResponse(l.workTime(now.Sub(l.sentAt)), now)
+		l.countResponse(l.workTime(now.Sub(l.sentAt)))
 	}
 	l.release(now)
 }
 
 // recordResponse updates the health of the target with a response time, and keeps a
-// late response for LateResponses. The caller holds l.fleet.mu.
+// late response for LateResponses. What the slowness figure of the target explains does
+// not count against it: its machine may be normal again before other VMs know. The caller holds l.fleet.mu.
 func (l *Lease) recordResponse(responseTime time.Duration, now time.Time) {
-	late := l.target.recordResponse(responseTime, l.target.group.latency(l.kind).median, now)
+	median := l.target.group.latency(l.kind).median
+	median = time.Duration(float64(median) * l.fleet.transientSlowness(l.target, now))
+	late := l.target.recordResponse(responseTime, median, now)
 	l.target.lastObservedAt = now
 	if late {
 		l.fleet.addLate(l.target, now)
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -107,6 +107,10 @@
 	// last reported, without those in flight from this VM.
 	reportedLoad   float64
 	reportedLoadAt time.Time
+	slowness       slowness
+	sharedSlowness sharedSlowness
+	// openUntil is until when a connection of this VM to the target is probably open.
+	openUntil time.Time
 	// sends counts the requests of this VM for the limit on cold targets, also while
 	// the target is not cold.
 	sends coldSends
@@ -160,6 +164,9 @@
 	t.downUntil = time.Time{}
 	t.consecutiveFailures = 0
 	t.reportedLoadAt = time.Time{}
+	t.slowness = slowness{}
+	t.sharedSlowness = sharedSlowness{}
+	t.openUntil = time.Time{}
 }
 
 // overdue reports whether this VM has a request in flight at the target whose
--- a/core/process/placement/version.go
+++ b/core/process/placement/version.go
@@ -12,14 +12,10 @@
 // response times counts as overdue for a rollout.
 const unknownOverdueAfter = 2 * time.Second
 
-const (
-	// connectionCost is the time that a target needs for a new connection, and
-	// connectionKept the time without a response of a target after which a request to it
-	// is assumed to open one. While a version is tested, nearly every request does, so
-	// that a good version would seem slow.
-	connectionCost = 6 * time.Millisecond
-	connectionKept = 7 * time.Second
-)
+// connectionKept is the time without a response of a target after which a request to it is
+// assumed to open a connection. While a version is tested, nearly every request does, so
+// that a good version would seem slow.
+const connectionKept = 7 * time.Second
 
 // side says which part of a rollout a target belongs to.
 type side int
@@ -179,17 +175,13 @@
 	}
 }
 
-// setupTime returns the part of the response time of a request sent now that the network and
-// a new connection account for, and not the version of the target.
+// setupTime returns the part of the response time of a request sent now, without the time of
+// the link, that a new connection accounts for, and not the version of the target.
 func (t *Target) setupTime(now time.Time) time.Duration {
-	setup, network := time.Duration(0), time.Duration(0)
-	if t.instance.DataCentre() != t.group.fleet.ownCentre {
-		network = remoteCentreCost
-	}
 	if t.lastObservedAt.IsZero() || now.Sub(t.lastObservedAt) > connectionKept {
-		setup = connectionCost + network
+		return ConnectTime
 	}
-	return setup + network
+	return 0
 }
 
 // countFailure counts an attempt that failed for the rollout that ran when it was sent. The
--- a/core/process/placement/version_test.go
+++ b/core/process/placement/version_test.go
@@ -163,9 +163,15 @@
 	remote := discovery.NewInstance("v2-0", "s-1", "10.0.1.0:80", "dc-2", 20).WithVersion("v2")
 	f.SetTargets(discovery.NewList([]discovery.Instance{remote}, 2, start), start)
 	f.TakeRolloutGrant(rollout.NewGrant("s-1", 5, rollout.Test, 9), bootclock.Now().Add(time.Hour), start)
+	// The link takes 6 ms there and back, and so does the handshake; a new connection
+	// costs the target 6 ms more.
+	const link = 6 * time.Millisecond
 	for _, took := range []time.Duration{26 * time.Millisecond, 14 * time.Millisecond} {
 		l, ok := f.Acquire(placement.NewLeaseRequest("s-1", "k"), start)
 		assert.Assert(t, ok)
+		if took > 20*time.Millisecond {
+			l.Connected(link, start.Add(link))
+		}
 		l.Succeeded(start.Add(took))
 	}
 	median, ok := f.RolloutReports(start)[0].MedianTime("k", true)
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -23,6 +23,7 @@
 	needsWholeResponse bool
 	idleTimeout        time.Duration
 	identity           Identity
+	onConnect          func(took time.Duration, now time.Time)
 }
 
 // NewAttempt returns the send of a request to a target that must answer by the
@@ -59,6 +60,21 @@
 // 0 if it is kept until the target closes it.
 func (a Attempt) IdleTimeout() time.Duration { return a.idleTimeout }
 
+// WithOnConnect returns a copy of the attempt with a function that is told of a new
+// connection just before the request is written to it: how long its TCP handshake took.
+func (a Attempt) WithOnConnect(onConnect func(took time.Duration, now time.Time)) Attempt {
+	a.onConnect = onConnect
+	return a
+}
+
+// Connected records that the request is the first one on a connection whose TCP handshake
+// took a time.
+func (a Attempt) Connected(took time.Duration, now time.Time) {
+	if a.onConnect != nil {
+		a.onConnect(took, now)
+	}
+}
+
 // NeedsWholeResponse reports whether a response that was not read completely is
 // useless.
 func (a Attempt) NeedsWholeResponse() bool { return a.needsWholeResponse }
@@ -131,11 +147,14 @@
 // if there is none.
 func (r *Response) Signature() string { return r.signature }
 
-// Load is the number of running and waiting requests that a target reports.
+// Load is the number of running and waiting requests that a target reports, and how slow
+// its machine is.
 type Load struct {
 	running int
 	waiting int
 	known   bool
+	// slowness is 0 if it is not known.
+	slowness float64
 }
 
 // NewLoad returns the load that a target reported.
