--- a/core/process/cluster/rollout_test.go
+++ b/core/process/cluster/rollout_test.go
@@ -36,7 +36,9 @@
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := socket.Addr().String()
-	c := cluster.New(cluster.NewIdentity("control-0", address, "dc-1", "s", true), []string{address}, list, &recordingObserver{}, zap.NewNop())
+	observer := &recordingObserver{}
+	c := cluster.New(cluster.NewIdentity("control-0", address, "dc-1", "s", true), []string{address}, list, observer, zap.NewNop())
+	observer.holder = c.Confirmation()
 	c.SetRollouts(bounds, nil)
 	assert.NilError(t, c.EnableControl(t.TempDir(), 1, time.Now()))
 	p := &process{cluster: c, done: make(chan struct{})}
