--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -32,6 +32,8 @@
 	// trial request is healthy even if it would otherwise be degraded, or
 	// suspect because of failures.
 	healthy healthClass = iota
+	// limited targets are healthy, but in slow start and not admitted for this request.
+	limited
 	// degraded targets are slow, have a high error rate or were recently
 	// reported unhealthy by another VM. They are used only when no healthy
 	// target has capacity left.
@@ -110,6 +112,7 @@
 func (f *Fleet) choose(g *group, kind string, tried []*Target, now time.Time) *Target {
 	median := g.latency(kind).median
 	preferred := f.preferredRemote(g)
+	startLimits := f.startLimits(g, now)
 	var best *Target
 	bestClass := excluded
 	var bestTime time.Duration
@@ -118,6 +121,9 @@
 			continue
 		}
 		class := f.classify(t, now)
+		if class == healthy && startLimits && !f.admitsStart(t, now) {
+			class = limited
+		}
 		if class == excluded || class > bestClass {
 			continue
 		}
--- a/core/process/placement/finding.go
+++ b/core/process/placement/finding.go
@@ -39,6 +39,9 @@
 // responses. The caller holds f.mu.
 func (f *Fleet) addLate(t *Target, now time.Time) {
 	interval := f.responseInterval(t.group, now)
+	if t.start.active() && f.hasEstablished(t.group, now) {
+		interval = time.Duration(float64(interval) / t.start.share)
+	}
 	if len(f.late) >= maxKeptLate || rand.Float64() >= float64(interval)/float64(minLateInterval) {
 		return
 	}
@@ -88,6 +91,8 @@
 			out = append(out, discovery.NewHealthFinding(id, true, age))
 		} else if t.peerReport.unhealthy && t.slowSince.IsZero() && t.lastObservedAt.After(t.peerReport.observedAt) {
 			out = append(out, discovery.NewHealthFinding(id, false, age))
+		} else if age, ok := t.startNormalSince(now); ok {
+			out = append(out, discovery.NewHealthFinding(id, false, age))
 		}
 	}
 	return out
@@ -114,6 +119,12 @@
 		if !finding.Unhealthy() && observedAt.After(t.lastObservedAt) {
 			t.recordPeerRecovery()
 		}
+		if finding.Unhealthy() {
+			f.beginSlowStart(t, causeReported, now)
+			f.observeStart(t, startOverloaded, observedAt, now)
+		} else {
+			f.observeStart(t, startNormal, observedAt, now)
+		}
 	}
 }
 
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -73,6 +73,8 @@
 	entryVMsSetAt time.Time
 	// late holds the late responses since LateResponses was last called.
 	late []lateResponse
+	// noSlowStart is set in tests that compare.
+	noSlowStart bool
 }
 
 // group holds the targets of one service, with its retry budget, response times
@@ -87,6 +89,9 @@
 	budget    retryBudget
 	latencies map[string]*latency
 	queue     queue
+	// load is the moving average of the load that the targets reported, in requests for
+	// each slot, without those in slow start.
+	load float64
 }
 
 // NewFleet returns a fleet without targets for a process that starts now, on
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -209,10 +209,12 @@
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	responseTime := now.Sub(l.sentAt)
+	median := l.target.group.latency(l.kind).median
 	if !l.streamingSince.IsZero() {
 		responseTime = l.streamingSince.Sub(l.sentAt)
 	}
 	l.recordResponse(responseTime, now)
+	l.startAnswered(responseTime, median, now)
 	if l.run == l.target.run && !l.target.waiting(now) {
 		l.target.resumes = false
 	}
@@ -227,6 +229,7 @@
 	defer l.fleet.mu.Unlock()
 	l.target.lastObservedAt = now
 	l.target.recordError()
+	l.startRefused(now)
 	l.release(now)
 }
 
@@ -237,6 +240,7 @@
 	defer l.fleet.mu.Unlock()
 	l.target.lastObservedAt = now
 	l.target.recordError()
+	l.startRefused(now)
 	if gone {
 		l.recordDeparture(true, now)
 	}
@@ -249,6 +253,7 @@
 	defer l.fleet.mu.Unlock()
 	l.target.lastObservedAt = now
 	l.target.recordNoResponse(now)
+	l.startUnanswered(now)
 	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends++
 	l.release(now)
 }
--- /dev/null
+++ b/core/process/placement/starting.go
@@ -0,0 +1,202 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// siblingLoadWeight is the weight of a new sample in the mean load of a service's
+// targets.
+const siblingLoadWeight = 0.1
+
+// The causes of a slow start, for the log.
+const (
+	causeListed   = "listed"
+	causeNewRun   = "new-run"
+	causeCold     = "cold"
+	causeFailed   = "failed"
+	causeSlow     = "slow"
+	causeReported = "reported"
+)
+
+// NewFleetWithoutSlowStart returns a fleet in which targets that have started or failed
+// get their whole share at once. It serves comparisons in tests.
+func NewFleetWithoutSlowStart(vm, centre string, limits Limits, now time.Time) *Fleet {
+	f := NewFleet(vm, centre, limits, now)
+	f.noSlowStart = true
+	return f
+}
+
+// beginAfterListing begins a slow start of a target that the list shows to have started
+// or turned cold, if requests go to the service and another target can take them. This is
+// not so in the first list of a process, and for a new set of shards before its first
+// request: there all targets are used at once. The caller holds f.mu.
+func (f *Fleet) beginAfterListing(t *Target, cause string, now time.Time) {
+	if f.listReadAt.IsZero() || len(t.group.latencies) == 0 || t.start.active() {
+		return
+	}
+	for _, other := range t.group.targets {
+		if other != t && !other.departure.known() && f.inService(other) && !other.start.active() {
+			f.beginSlowStart(t, cause, now)
+			return
+		}
+	}
+}
+
+// beginSlowStart begins a slow start of a target, if its service has others. Trial
+// requests to it are due at random times, so that the VMs don't all send theirs at once.
+// The caller holds f.mu.
+func (f *Fleet) beginSlowStart(t *Target, cause string, now time.Time) {
+	if f.noSlowStart || t.start.active() || !t.hasSibling() {
+		return
+	}
+	t.start = beginSlowStart(initialShare(f.responseInterval(t.group, now), t.group.anyMedian()), now)
+	if cause != causeFailed && cause != causeSlow {
+		t.lastSentAt = now.Add(-time.Duration(rand.Int64N(int64(f.ownTrialInterval()))))
+	}
+	f.addChange(NewTargetChange(t.id, TargetStartsSlowly, 0).WithCause(cause))
+}
+
+// hasSibling reports whether the service has another target. A new target is not yet in
+// its group.
+func (t *Target) hasSibling() bool {
+	n := len(t.group.targets)
+	return n > 1 || n == 1 && t.group.targets[0] != t
+}
+
+// anyMedian returns the median response time of one kind of request to the service, 0 if
+// none is known.
+func (g *group) anyMedian() time.Duration {
+	for _, l := range g.latencies {
+		if l.median > 0 {
+			return l.median
+		}
+	}
+	return 0
+}
+
+// observeStart adds evidence to the slow start of a target, if one is active. The caller
+// holds f.mu.
+func (f *Fleet) observeStart(t *Target, e startEvidence, at, now time.Time) {
+	if !t.start.active() {
+		return
+	}
+	if e == startNormal && f.coldLimited(t, now) {
+		// The declared rate limits the target, so its share is not tested.
+		e = startBusy
+	}
+	t.start.add(e, at, now)
+	f.endSlowStart(t, now)
+}
+
+// coldLimited reports whether a declared rate limits the requests to the target. The
+// caller holds f.mu.
+func (f *Fleet) coldLimited(t *Target, now time.Time) bool {
+	return now.Before(t.coldUntil) && t.group.declared.MaxColdRate() > 0
+}
+
+// endSlowStart ends the slow start of a target that takes its whole share. The caller
+// holds f.mu.
+func (f *Fleet) endSlowStart(t *Target, now time.Time) {
+	if !t.start.done() {
+		return
+	}
+	f.addChange(NewTargetChange(t.id, TargetTakesItsShare, now.Sub(t.start.began)))
+	t.start = slowStart{}
+}
+
+// startAnswered adds a successful response to the slow start of the lease's target. The
+// caller holds l.fleet.mu.
+func (l *Lease) startAnswered(responseTime, median time.Duration, now time.Time) {
+	f, t := l.fleet, l.target
+	if t.slowdown > slowThreshold {
+		f.beginSlowStart(t, causeSlow, now)
+	}
+	if !t.start.active() || l.run != t.run || l.sentAt.Before(t.start.began) {
+		return
+	}
+	e := startNormal
+	compared := median > 0 && f.hasEstablished(t.group, now)
+	switch ratio := float64(responseTime) / float64(max(median, 1)); {
+	case compared && ratio > lateSample:
+		e = startOverloaded
+	case compared && ratio > slowThreshold, t.busierThanSiblings(now):
+		e = startBusy
+	}
+	if e == startNormal {
+		t.start.normalAt = now
+	}
+	f.observeStart(t, e, now, now)
+}
+
+// startRefused adds a rejection or an error response. The caller holds l.fleet.mu.
+func (l *Lease) startRefused(now time.Time) {
+	if l.target.errorRate > errorRateThreshold {
+		l.fleet.beginSlowStart(l.target, causeFailed, now)
+	}
+	l.fleet.observeStart(l.target, startOverloaded, now, now)
+}
+
+// startUnanswered adds a request without a response or connection. The caller holds
+// l.fleet.mu.
+func (l *Lease) startUnanswered(now time.Time) {
+	l.fleet.beginSlowStart(l.target, causeFailed, now)
+	l.fleet.observeStart(l.target, startFailed, now, now)
+}
+
+// addLoadSample adds the load that a target reported, unless it is in slow start, to the
+// mean load of the service's targets.
+func (t *Target) addLoadSample(running, waiting int) {
+	if t.start.active() {
+		return
+	}
+	load := float64(running+waiting) / float64(max(t.instance.Slots(), 1))
+	t.group.load += siblingLoadWeight * (load - t.group.load)
+}
+
+// busierThanSiblings reports whether the target's last response reported at least as many
+// requests as it has slots, and more for each slot than its siblings do.
+func (t *Target) busierThanSiblings(now time.Time) bool {
+	load := t.decayedLoad(now) / float64(max(t.instance.Slots(), 1))
+	return load >= max(1, t.group.load)
+}
+
+// hasEstablished reports whether the service has a healthy target that is not in slow
+// start. Without one there is nothing to compare with, and no target that could take what
+// the limits of the others leave. The caller holds f.mu.
+func (f *Fleet) hasEstablished(g *group, now time.Time) bool {
+	for _, t := range g.targets {
+		if !t.start.active() && f.classify(t, now) == healthy {
+			return true
+		}
+	}
+	return false
+}
+
+// startLimits reports whether limits of slow starts apply to a request to the service.
+// The caller holds f.mu.
+func (f *Fleet) startLimits(g *group, now time.Time) bool {
+	starting := false
+	for _, t := range g.targets {
+		if t.start.active() {
+			t.start.advance(now)
+			f.endSlowStart(t, now)
+			starting = starting || t.start.active()
+		}
+	}
+	return starting && f.hasEstablished(g, now)
+}
+
+// admitsStart reports whether a request may go to a target in slow start: a trial request
+// that is due, or a part of the others as large as its share. The caller holds f.mu.
+func (f *Fleet) admitsStart(t *Target, now time.Time) bool {
+	return !t.start.active() || f.trialDue(t, now) || rand.Float64() < t.start.share
+}
+
+// startNormalSince returns the age of the target's latest response to this VM, if it is in
+// slow start and the response was normal. The VM reports it, so that the share grows at the
+// other VMs too.
+func (t *Target) startNormalSince(now time.Time) (age time.Duration, ok bool) {
+	age = now.Sub(t.start.normalAt)
+	return age, t.start.active() && !t.start.normalAt.IsZero() && t.start.normalAt.Equal(t.lastObservedAt) && age <= maxReportAge
+}
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -110,6 +110,7 @@
 	// sends counts the requests of this VM for the limit on cold targets, also while
 	// the target is not cold.
 	sends coldSends
+	start slowStart
 }
 
 // ID returns the id of the target's instance.
@@ -138,8 +139,14 @@
 		t.group.fleet.addChange(NewTargetChange(t.id, TargetReturns, 0))
 		t.startRun()
 		newlyListed = true
+		t.group.fleet.beginAfterListing(t, causeNewRun, now)
+	case newlyListed:
+		t.group.fleet.beginAfterListing(t, causeListed, now)
 	}
 	if i.ColdFor() > 0 {
+		if !now.Before(t.coldUntil) {
+			t.group.fleet.beginAfterListing(t, causeCold, now)
+		}
 		if newlyListed {
 			t.slowdown = coldSlowdown
 		}
@@ -160,6 +167,7 @@
 	t.downUntil = time.Time{}
 	t.consecutiveFailures = 0
 	t.reportedLoadAt = time.Time{}
+	t.start = slowStart{}
 }
 
 // overdue reports whether this VM has a request in flight at the target whose
@@ -191,6 +199,7 @@
 func (t *Target) setReportedLoad(running, waiting int, now time.Time) {
 	t.reportedLoad = max(0, float64(running+waiting-len(t.inFlight)))
 	t.reportedLoadAt = now
+	t.addLoadSample(running, waiting)
 }
 
 // recordResponse updates the target's health with a response time. The median
