--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -32,12 +32,12 @@
 	// trial request is healthy even if it would otherwise be degraded, or
 	// suspect because of failures.
 	healthy healthClass = iota
-	// limited targets are healthy, but in slow start and not admitted for this request.
-	limited
 	// degraded targets are slow, have a high error rate or were recently
 	// reported unhealthy by another VM. They are used only when no healthy
 	// target has capacity left.
 	degraded
+	// limited targets are healthy, but in slow start and not admitted for this request.
+	limited
 	// suspect targets have an overdue request from this VM, or have given no
 	// response or no connection to a request since a response time was last
 	// recorded for them; see Target.consecutiveFailures.
@@ -112,7 +112,7 @@
 func (f *Fleet) choose(g *group, kind string, tried []*Target, now time.Time) *Target {
 	median := g.latency(kind).median
 	preferred := f.preferredRemote(g)
-	startLimits := f.startLimits(g, now)
+	largestShare := f.largestShare(g, now)
 	var best *Target
 	bestClass := excluded
 	var bestTime time.Duration
@@ -121,7 +121,7 @@
 			continue
 		}
 		class := f.classify(t, now)
-		if class == healthy && startLimits && !f.admitsStart(t, now) {
+		if class == healthy && largestShare > 0 && !f.admitsStart(t, largestShare, now) {
 			class = limited
 		}
 		if class == excluded || class > bestClass {
--- a/core/process/placement/finding.go
+++ b/core/process/placement/finding.go
@@ -120,7 +120,7 @@
 			t.recordPeerRecovery()
 		}
 		if finding.Unhealthy() {
-			f.beginSlowStart(t, causeReported, now)
+			f.beginAfterFinding(t, now)
 			f.observeStart(t, startOverloaded, observedAt, now)
 		} else {
 			f.observeStart(t, startNormal, observedAt, now)
--- a/core/process/placement/starting.go
+++ b/core/process/placement/starting.go
@@ -9,13 +9,17 @@
 // targets.
 const siblingLoadWeight = 0.1
 
+// normalRatio is the response time, divided by the median, up to which a response in a slow
+// start is normal. One normal response of one VM lets the share of all of them grow, so it
+// must be rare while the target is three times as slow as its siblings.
+const normalRatio = 1.25
+
 // The causes of a slow start, for the log.
 const (
 	causeListed   = "listed"
 	causeNewRun   = "new-run"
 	causeCold     = "cold"
 	causeFailed   = "failed"
-	causeSlow     = "slow"
 	causeReported = "reported"
 )
 
@@ -32,7 +36,7 @@
 // not so in the first list of a process, and for a new set of shards before its first
 // request: there all targets are used at once. The caller holds f.mu.
 func (f *Fleet) beginAfterListing(t *Target, cause string, now time.Time) {
-	if f.listReadAt.IsZero() || len(t.group.latencies) == 0 || t.start.active() {
+	if f.listReadAt.IsZero() || len(t.group.latencies) == 0 {
 		return
 	}
 	for _, other := range t.group.targets {
@@ -43,6 +47,18 @@
 	}
 }
 
+// beginAfterFinding begins a slow start of a target that other VMs found unhealthy, unless
+// another one of its service is in slow start: that one's siblings get more requests than
+// usual, and may look unhealthy for this reason alone. The caller holds f.mu.
+func (f *Fleet) beginAfterFinding(t *Target, now time.Time) {
+	for _, other := range t.group.targets {
+		if other.start.active() {
+			return
+		}
+	}
+	f.beginSlowStart(t, causeReported, now)
+}
+
 // beginSlowStart begins a slow start of a target, if its service has others. Trial
 // requests to it are due at random times, so that the VMs don't all send theirs at once.
 // The caller holds f.mu.
@@ -51,7 +67,7 @@
 		return
 	}
 	t.start = beginSlowStart(initialShare(f.responseInterval(t.group, now), t.group.anyMedian()), now)
-	if cause != causeFailed && cause != causeSlow {
+	if cause != causeFailed {
 		t.lastSentAt = now.Add(-time.Duration(rand.Int64N(int64(f.ownTrialInterval()))))
 	}
 	f.addChange(NewTargetChange(t.id, TargetStartsSlowly, 0).WithCause(cause))
@@ -109,9 +125,6 @@
 // caller holds l.fleet.mu.
 func (l *Lease) startAnswered(responseTime, median time.Duration, now time.Time) {
 	f, t := l.fleet, l.target
-	if t.slowdown > slowThreshold {
-		f.beginSlowStart(t, causeSlow, now)
-	}
 	if !t.start.active() || l.run != t.run || l.sentAt.Before(t.start.began) {
 		return
 	}
@@ -120,7 +133,7 @@
 	switch ratio := float64(responseTime) / float64(max(median, 1)); {
 	case compared && ratio > lateSample:
 		e = startOverloaded
-	case compared && ratio > slowThreshold, t.busierThanSiblings(now):
+	case compared && ratio > normalRatio, t.busierThanSiblings(now):
 		e = startBusy
 	}
 	if e == startNormal {
@@ -161,36 +174,58 @@
 	return load >= max(1, t.group.load)
 }
 
-// hasEstablished reports whether the service has a healthy target that is not in slow
-// start. Without one there is nothing to compare with, and no target that could take what
-// the limits of the others leave. The caller holds f.mu.
+// takesRequests reports whether the target is in service and answers this VM, if only
+// slowly. The siblings of a target that is avoided at first get more requests and become
+// slower, and must not be left for it because of that. The caller holds f.mu.
+func (f *Fleet) takesRequests(t *Target, now time.Time) bool {
+	return f.selectable(t, now) && !now.Before(t.downUntil) && t.consecutiveFailures == 0 && !t.stalled(now)
+}
+
+// hasEstablished reports whether the service has a target that takes requests and is not in
+// slow start. Without one there is nothing to compare response times with. The caller holds
+// f.mu.
 func (f *Fleet) hasEstablished(g *group, now time.Time) bool {
 	for _, t := range g.targets {
-		if !t.start.active() && f.classify(t, now) == healthy {
+		if !t.start.active() && f.takesRequests(t, now) {
 			return true
 		}
 	}
 	return false
 }
 
-// startLimits reports whether limits of slow starts apply to a request to the service.
-// The caller holds f.mu.
-func (f *Fleet) startLimits(g *group, now time.Time) bool {
-	starting := false
+// largestShare returns the largest share of a service's targets, 1 if one of them that takes
+// requests is not in slow start. Limits apply in relation to it, so that the targets of a
+// service that has no other ones share its requests. It returns 0 if none is in slow
+// start. The caller holds f.mu.
+func (f *Fleet) largestShare(g *group, now time.Time) float64 {
+	starting, largest := false, 0.0
+	for _, t := range g.targets {
+		if !t.start.active() {
+			continue
+		}
+		t.start.advance(now)
+		f.endSlowStart(t, now)
+		starting = starting || t.start.active()
+	}
+	if !starting {
+		return 0
+	}
 	for _, t := range g.targets {
-		if t.start.active() {
-			t.start.advance(now)
-			f.endSlowStart(t, now)
-			starting = starting || t.start.active()
+		switch {
+		case !f.takesRequests(t, now):
+		case !t.start.active():
+			return 1
+		default:
+			largest = max(largest, t.start.share)
 		}
 	}
-	return starting && f.hasEstablished(g, now)
+	return largest
 }
 
-// admitsStart reports whether a request may go to a target in slow start: a trial request
-// that is due, or a part of the others as large as its share. The caller holds f.mu.
-func (f *Fleet) admitsStart(t *Target, now time.Time) bool {
-	return !t.start.active() || f.trialDue(t, now) || rand.Float64() < t.start.share
+// admitsStart reports whether a request may go to a target: a trial request that is due, or
+// a part of the others that is its share in relation to the largest. The caller holds f.mu.
+func (f *Fleet) admitsStart(t *Target, largest float64, now time.Time) bool {
+	return !t.start.active() || f.trialDue(t, now) || rand.Float64()*largest < t.start.share
 }
 
 // startNormalSince returns the age of the target's latest response to this VM, if it is in
