--- a/core/process/placement/finding.go
+++ b/core/process/placement/finding.go
@@ -123,7 +123,7 @@
 			f.beginAfterFinding(t, now)
 			f.observeStart(t, startOverloaded, observedAt, now)
 		} else {
-			f.observeStart(t, startNormal, observedAt, now)
+			f.startRecovered(t, observedAt, now)
 		}
 	}
 }
--- a/core/process/placement/slowstart.go
+++ b/core/process/placement/slowstart.go
@@ -5,12 +5,12 @@
 const (
 	// maxInitialShare and minInitialShare bound the share of its requests with which a
 	// target begins a slow start. Trial requests come in addition.
-	maxInitialShare = 0.1
+	maxInitialShare = 0.2
 	minInitialShare = 0.02
 	// startSlowness is how many times as long as its siblings a target that has just
 	// started is taken to need for a request. The initial share leaves it about one
 	// request in flight from all VMs together.
-	startSlowness = 4
+	startSlowness = 8
 	// growthFactor and fallFactor multiply the share after good and bad evidence.
 	growthFactor = 2
 	fallFactor   = 0.5
--- a/core/process/placement/starting.go
+++ b/core/process/placement/starting.go
@@ -48,11 +48,15 @@
 }
 
 // beginAfterFinding begins a slow start of a target that other VMs found unhealthy, unless
-// another one of its service is in slow start: that one's siblings get more requests than
-// usual, and may look unhealthy for this reason alone. The caller holds f.mu.
+// this is not special to it: another target of its service is in slow start, and this one
+// gets more requests than usual, or is unhealthy too, or all of them have more requests
+// than slots. The caller holds f.mu.
 func (f *Fleet) beginAfterFinding(t *Target, now time.Time) {
+	if t.group.load >= 1 {
+		return
+	}
 	for _, other := range t.group.targets {
-		if other.start.active() {
+		if other != t && (other.start.active() || other.reportedUnhealthy(now)) {
 			return
 		}
 	}
@@ -66,10 +70,9 @@
 	if f.noSlowStart || t.start.active() || !t.hasSibling() {
 		return
 	}
-	t.start = beginSlowStart(initialShare(f.responseInterval(t.group, now), t.group.anyMedian()), now)
-	if cause != causeFailed {
-		t.lastSentAt = now.Add(-time.Duration(rand.Int64N(int64(f.ownTrialInterval()))))
-	}
+	initial := initialShare(f.responseInterval(t.group, now), t.group.anyMedian())
+	t.start = beginSlowStart(initial, now)
+	t.lastSentAt = now.Add(-time.Duration(rand.Int64N(int64(f.ownTrialInterval()))))
 	f.addChange(NewTargetChange(t.id, TargetStartsSlowly, 0).WithCause(cause))
 }
 
@@ -121,6 +124,17 @@
 	t.start = slowStart{}
 }
 
+// startRecovered lets the share of a target grow that other VMs found healthy. If it failed
+// this VM before, the VM uses it again, with its share: a trial request of its own would be
+// due only after many seconds. The caller holds f.mu.
+func (f *Fleet) startRecovered(t *Target, observedAt, now time.Time) {
+	if t.start.active() && observedAt.After(t.lastObservedAt) {
+		t.consecutiveFailures = 0
+		t.downUntil = time.Time{}
+	}
+	f.observeStart(t, startNormal, observedAt, now)
+}
+
 // startAnswered adds a successful response to the slow start of the lease's target. The
 // caller holds l.fleet.mu.
 func (l *Lease) startAnswered(responseTime, median time.Duration, now time.Time) {
@@ -144,7 +158,7 @@
 
 // startRefused adds a rejection or an error response. The caller holds l.fleet.mu.
 func (l *Lease) startRefused(now time.Time) {
-	if l.target.errorRate > errorRateThreshold {
+	if l.target.errorRate > errorRateThreshold && l.target.group.load < 1 {
 		l.fleet.beginSlowStart(l.target, causeFailed, now)
 	}
 	l.fleet.observeStart(l.target, startOverloaded, now, now)
