--- a/core/process/placement/starting.go
+++ b/core/process/placement/starting.go
@@ -122,6 +122,8 @@
 	}
 	f.addChange(NewTargetChange(t.id, TargetTakesItsShare, now.Sub(t.start.began)))
 	t.start = slowStart{}
+	// What was observed before would keep it last in the order of expected times.
+	t.errorRate = 0
 }
 
 // startRecovered lets the share of a target grow that other VMs found healthy. If it failed
