--- a/core/process/placement/slowstart.go
+++ b/core/process/placement/slowstart.go
@@ -39,6 +39,8 @@
 	// normalAt is when this VM last got a normal response, zero if the target failed
 	// since.
 	normalAt time.Time
+	// failed is set while the latest request of this VM got no response or no connection.
+	failed bool
 }
 
 // startEvidence is what an observation shows of a target in slow start.
@@ -87,6 +89,13 @@
 	case e == startNormal && stepDue:
 		s.setShare(min(1, s.share*growthFactor), now)
 	}
+	switch e {
+	case startFailed:
+		s.failed = true
+	case startNormal:
+		s.failed = false
+	case startBusy, startOverloaded:
+	}
 	if e == startFailed || e == startOverloaded {
 		s.normalAt = time.Time{}
 	}
--- a/core/process/placement/starting.go
+++ b/core/process/placement/starting.go
@@ -9,6 +9,10 @@
 // targets.
 const siblingLoadWeight = 0.1
 
+// failedTrialFactor is the time between two trial requests to a target that gives no
+// response, in trial intervals.
+const failedTrialFactor = 2
+
 // normalRatio is the response time, divided by the median, up to which a response in a slow
 // start is normal. One normal response of one VM lets the share of all of them grow, so it
 // must be rare while the target is three times as slow as its siblings.
@@ -72,7 +76,7 @@
 	}
 	initial := initialShare(f.responseInterval(t.group, now), t.group.anyMedian())
 	t.start = beginSlowStart(initial, now)
-	t.lastSentAt = now.Add(-time.Duration(rand.Int64N(int64(f.ownTrialInterval()))))
+	t.lastSentAt = now.Add(-time.Duration(rand.Int64N(int64(failedTrialFactor * f.ownTrialInterval()))))
 	f.addChange(NewTargetChange(t.id, TargetStartsSlowly, 0).WithCause(cause))
 }
 
@@ -104,6 +108,13 @@
 		// The declared rate limits the target, so its share is not tested.
 		e = startBusy
 	}
+	if e == startNormal && t.start.failed {
+		// The cost of the failures would keep the target last in the order of expected
+		// times, without requests that lower it.
+		t.errorRate = 0
+		t.consecutiveFailures = 0
+		t.downUntil = time.Time{}
+	}
 	t.start.add(e, at, now)
 	f.endSlowStart(t, now)
 }
@@ -122,19 +133,21 @@
 	}
 	f.addChange(NewTargetChange(t.id, TargetTakesItsShare, now.Sub(t.start.began)))
 	t.start = slowStart{}
-	// What was observed before would keep it last in the order of expected times.
-	t.errorRate = 0
 }
 
 // startRecovered lets the share of a target grow that other VMs found healthy. If it failed
 // this VM before, the VM uses it again, with its share: a trial request of its own would be
 // due only after many seconds. The caller holds f.mu.
 func (f *Fleet) startRecovered(t *Target, observedAt, now time.Time) {
-	if t.start.active() && observedAt.After(t.lastObservedAt) {
-		t.consecutiveFailures = 0
-		t.downUntil = time.Time{}
+	if observedAt.After(t.lastObservedAt) || !t.start.failed {
+		f.observeStart(t, startNormal, observedAt, now)
 	}
-	f.observeStart(t, startNormal, observedAt, now)
+}
+
+// startTrialDue reports whether a trial request is due at a target that gave no response,
+// and so at once that it does not matter how often it failed. The caller holds f.mu.
+func (f *Fleet) startTrialDue(t *Target, now time.Time) bool {
+	return t.start.failed && now.Sub(t.lastSentAt) > failedTrialFactor*f.ownTrialInterval()
 }
 
 // startAnswered adds a successful response to the slow start of the lease's target. The
