--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -99,7 +99,7 @@
 	if excess := load - float64(slots) + 1; excess > 0 {
 		estimate += time.Duration(float64(estimate) * excess / float64(slots))
 	}
-	if !f.startTrialDue(t, now) {
+	if !t.start.failed || !f.trialDue(t, now) {
 		estimate += time.Duration(t.errorRate * float64(errorCost))
 	}
 	if t != preferred && t.instance.DataCentre() != f.ownCentre {
--- a/core/process/placement/finding.go
+++ b/core/process/placement/finding.go
@@ -153,7 +153,11 @@
 // than ownTrialInterval. The more VMs share the target, the less often each of
 // them sends one.
 func (f *Fleet) trialDue(t *Target, now time.Time) bool {
-	return now.Sub(t.lastSentAt) > f.ownTrialInterval() && len(t.inFlight) == 0
+	interval := f.ownTrialInterval()
+	if t.start.failed {
+		interval *= failedTrialFactor
+	}
+	return now.Sub(t.lastSentAt) > interval && len(t.inFlight) == 0
 }
 
 // ownTrialInterval returns the time between two trial requests of this VM to
--- a/core/process/placement/starting.go
+++ b/core/process/placement/starting.go
@@ -24,6 +24,7 @@
 	causeNewRun   = "new-run"
 	causeCold     = "cold"
 	causeFailed   = "failed"
+	causeErrors   = "errors"
 	causeReported = "reported"
 )
 
@@ -67,8 +68,9 @@
 	f.beginSlowStart(t, causeReported, now)
 }
 
-// beginSlowStart begins a slow start of a target, if its service has others. Trial
-// requests to it are due at random times, so that the VMs don't all send theirs at once.
+// beginSlowStart begins a slow start of a target, if its service has others. The first
+// trial requests to it are due at random times, so that the VMs don't all send theirs at
+// once.
 // The caller holds f.mu.
 func (f *Fleet) beginSlowStart(t *Target, cause string, now time.Time) {
 	if f.noSlowStart || t.start.active() || !t.hasSibling() {
@@ -76,7 +78,12 @@
 	}
 	initial := initialShare(f.responseInterval(t.group, now), t.group.anyMedian())
 	t.start = beginSlowStart(initial, now)
-	t.lastSentAt = now.Add(-time.Duration(rand.Int64N(int64(failedTrialFactor * f.ownTrialInterval()))))
+	switch cause {
+	case causeListed, causeNewRun, causeCold:
+		t.lastSentAt = now.Add(-time.Duration(rand.Int64N(int64(f.ownTrialInterval()))))
+	case causeFailed:
+		t.lastSentAt = now.Add(-time.Duration(rand.Int64N(int64(failedTrialFactor * f.ownTrialInterval()))))
+	}
 	f.addChange(NewTargetChange(t.id, TargetStartsSlowly, 0).WithCause(cause))
 }
 
@@ -144,12 +151,6 @@
 	}
 }
 
-// startTrialDue reports whether a trial request is due at a target that gave no response,
-// and so at once that it does not matter how often it failed. The caller holds f.mu.
-func (f *Fleet) startTrialDue(t *Target, now time.Time) bool {
-	return t.start.failed && now.Sub(t.lastSentAt) > failedTrialFactor*f.ownTrialInterval()
-}
-
 // startAnswered adds a successful response to the slow start of the lease's target. The
 // caller holds l.fleet.mu.
 func (l *Lease) startAnswered(responseTime, median time.Duration, now time.Time) {
@@ -174,7 +175,7 @@
 // startRefused adds a rejection or an error response. The caller holds l.fleet.mu.
 func (l *Lease) startRefused(now time.Time) {
 	if l.target.errorRate > errorRateThreshold && l.target.group.load < 1 {
-		l.fleet.beginSlowStart(l.target, causeFailed, now)
+		l.fleet.beginSlowStart(l.target, causeErrors, now)
 	}
 	l.fleet.observeStart(l.target, startOverloaded, now, now)
 }
