--- a/core/process/placement/starting.go
+++ b/core/process/placement/starting.go
@@ -144,9 +144,11 @@
 
 // startRecovered lets the share of a target grow that other VMs found healthy. If it failed
 // this VM before, the VM uses it again, with its share: a trial request of its own would be
-// due only after many seconds. The caller holds f.mu.
+// due only after many seconds. Without an established sibling it does not, since all VMs
+// would send all requests to the first target of the service that is back. The caller
+// holds f.mu.
 func (f *Fleet) startRecovered(t *Target, observedAt, now time.Time) {
-	if observedAt.After(t.lastObservedAt) || !t.start.failed {
+	if !t.start.failed || observedAt.After(t.lastObservedAt) && f.hasEstablished(t.group, now) {
 		f.observeStart(t, startNormal, observedAt, now)
 	}
 }
