--- a/core/process/gateway/telemetry.go
+++ b/core/process/gateway/telemetry.go
@@ -94,7 +94,7 @@
 	for n, c := range changes {
 		t.scope.Counter("target-changes." + string(c.Kind())).Inc(1)
 		if n < maxLoggedChanges {
-			t.log.Info("target changed", zap.String("target", c.ID()), zap.String("change", string(c.Kind())), zap.Duration("wait", c.Wait()))
+			t.log.Info("target changed", zap.String("target", c.ID()), zap.String("change", string(c.Kind())), zap.Duration("wait", c.Wait()), zap.String("cause", c.Cause()))
 		}
 	}
 	if more := len(changes) - maxLoggedChanges; more > 0 {
