placement: comments of the slow start

Cause: a target that started or recovered got its full share at once, or stayed idle until a trial request that many VMs send once in 70 s.

--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -110,6 +110,7 @@
 	// sends counts the requests of this VM for the limit on cold targets, also while
 	// the target is not cold.
 	sends coldSends
+	// start limits the requests after the target has started or failed.
 	start slowStart
 }
 
