--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -32,6 +32,8 @@
 	// reported unhealthy by another VM. They are used only when no healthy
 	// target has capacity left.
 	degraded
+	// limited targets are healthy, but in slow start and not admitted for this request.
+	limited
 	// suspect targets have an overdue request from this VM, or have given no
 	// response or no connection to a request since a response time was last
 	// recorded for them; see Target.consecutiveFailures.
@@ -94,7 +96,9 @@
 	if excess := load - float64(slots) + 1; excess > 0 {
 		estimate += time.Duration(float64(estimate) * excess / float64(slots))
 	}
-	estimate += time.Duration(t.errorRate * float64(errorCost))
+	if !t.start.failed || !f.trialDue(t, now) {
+		estimate += time.Duration(t.errorRate * float64(errorCost))
+	}
 	if t != preferred && t.instance.DataCentre() != f.ownCentre {
 		estimate += f.centreCost(t) + f.connectCost(t, now)
 	}
@@ -107,6 +111,7 @@
 func (f *Fleet) chooseOf(g *group, wanted side, kind string, tried []*Target, now time.Time) *Target {
 	median := g.latency(kind).median
 	preferred := f.preferredRemote(g)
+	largestShare := f.largestShare(g, now)
 	var best *Target
 	bestClass := excluded
 	var bestTime time.Duration
@@ -115,6 +120,9 @@
 			continue
 		}
 		class := f.classify(t, now)
+		if class == healthy && largestShare > 0 && !f.admitsStart(t, largestShare, now) {
+			class = limited
+		}
 		if class == excluded || class > bestClass {
 			continue
 		}
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -92,6 +92,8 @@
 	meanSlowness float64
 	// slownessReports holds the targets whose slowness is reported next.
 	slownessReports []*Target
+	// noSlowStart is set in tests that compare.
+	noSlowStart bool
 }
 
 // group holds the targets of one service, with its retry budget, response times
@@ -109,6 +111,9 @@
 	versions  versions
 	// extraShares limits the extra attempts of each team while the budget is short.
 	extraShares extraShares
+	// load is the moving average of the load that the targets reported, in requests for
+	// each slot, without those in slow start.
+	load float64
 }
 
 // NewFleet returns a fleet without targets for a process that starts now, on
--- a/core/process/placement/target.go
+++ b/core/process/placement/target.go
@@ -114,6 +114,8 @@
 	// sends counts the requests of this VM for the limit on cold targets, also while
 	// the target is not cold.
 	sends coldSends
+	// start limits the requests after the target has started or failed.
+	start slowStart
 }
 
 // ID returns the id of the target's instance.
@@ -142,8 +144,14 @@
 		t.group.fleet.addChange(NewTargetChange(t.id, TargetReturns, 0))
 		t.startRun()
 		newlyListed = true
+		t.group.fleet.beginAfterListing(t, causeNewRun, now)
+	case newlyListed:
+		t.group.fleet.beginAfterListing(t, causeListed, now)
 	}
 	if i.ColdFor() > 0 {
+		if !now.Before(t.coldUntil) {
+			t.group.fleet.beginAfterListing(t, causeCold, now)
+		}
 		if newlyListed {
 			t.slowdown = coldSlowdown
 		}
@@ -167,6 +175,7 @@
 	t.slowness = slowness{}
 	t.sharedSlowness = sharedSlowness{}
 	t.openUntil = time.Time{}
+	t.start = slowStart{}
 }
 
 // overdue reports whether this VM has a request in flight at the target whose
@@ -198,6 +207,7 @@
 func (t *Target) setReportedLoad(running, waiting int, now time.Time) {
 	t.reportedLoad = max(0, float64(running+waiting-len(t.inFlight)))
 	t.reportedLoadAt = now
+	t.addLoadSample(running, waiting)
 }
 
 // recordResponse updates the target's health with a response time. The median
