--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -169,7 +169,7 @@
 	if !known {
 		return time.Duration(defaultOverdueFraction * objective)
 	}
-	return min(lease.Late(delay), time.Duration(maxOverdueFraction*objective))
+	return min(lease.OverdueAfter(delay), time.Duration(maxOverdueFraction*objective))
 }
 
 // deliver passes an outcome to run, or discards it if the query has finished.
--- a/core/process/placement/lease.go
+++ b/core/process/placement/lease.go
@@ -28,8 +28,8 @@
 	// or a streamed response has begun.
 	overdueAt   time.Time
 	idleTimeout time.Duration
-	// slowness is the slowness that was expected of the target, at least 1, and link the
-	// link time when the lease was granted.
+	// slowness is the slowness that was expected of the target, at least 1, and link its
+	// link time, both when the lease was granted.
 	slowness float64
 	link     time.Duration
 	// streamingSince is when a streamed response began. It is zero if no
@@ -43,16 +43,6 @@
 	setupTime time.Duration
 }
 
-// StreamingStarted records that a streamed response has begun. The time that
-// the rest of it takes depends on how fast the caller reads, so it does not
-// count towards the target's response time.
-func (l *Lease) StreamingStarted(now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	l.streamingSince = now
-	l.overdueAt = time.Time{}
-}
-
 // IdleTimeout returns how long the connection to the target should be kept
 // idle, 0 for as long as the target keeps it.
 func (l *Lease) IdleTimeout() time.Duration { return l.idleTimeout }
@@ -63,16 +53,18 @@
 // Instance returns the target's instance as listed when the lease was granted.
 func (l *Lease) Instance() discovery.Instance { return l.instance }
 
-// grant returns a lease for a request to a target and counts it as in flight.
-// For a target with a slowdown above 1, the time after which its response is
-// overdue is multiplied by the slowdown. The caller holds f.mu.
+// grant returns a lease for a request to a target and counts it as in flight. The time
+// after which its response is overdue is multiplied by the target's slowdown and its
+// expected slowness, each if it is above 1, and the link time is added. The caller holds
+// f.mu.
 func (f *Fleet) grant(g *group, t *Target, r LeaseRequest, now time.Time) *Lease {
 	l := &Lease{fleet: f, target: t, instance: t.instance, run: t.run, kind: r.kind, team: r.team, charged: r.charged, sentAt: now, idleTimeout: f.idleTimeout(g, t)}
 	f.fairness.recordServed(r.team, 1, now)
 	l.link, _ = f.linkTime(t)
 	l.slowness = max(1, f.expectedSlowness(t, now))
 	if stats := g.latency(r.kind); stats.known() {
-		l.overdueAt = now.Add(l.Late(max(stats.overdueAfter, time.Duration(float64(stats.overdueAfter)*t.currentSlowdown(now)))))
+		usual := time.Duration(float64(stats.overdueAfter) * max(1, t.currentSlowdown(now)))
+		l.overdueAt = now.Add(l.OverdueAfter(usual))
 	}
 	t.inFlight[l] = struct{}{}
 	t.lastSentAt = now
@@ -217,142 +209,6 @@
 	return l.overdueAfter, l.known()
 }
 
-// Sent records that the request is being sent now. The time that this VM needed since
-// it chose the target is not part of the target's response time.
-func (l *Lease) Sent(now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	l.restart(now)
-}
-
-// release removes the request from those in flight and serves the queue. The
-// caller holds l.fleet.mu.
-func (l *Lease) release(now time.Time) {
-	delete(l.target.inFlight, l)
-	l.target.recordOpen(l.idleTimeout, now)
-	l.target.group.queue.recordCompletion(now)
-	l.fleet.grantWaiting(l.target.group, now)
-}
-
-// Unsent ends a lease whose request was not sent, for a reason that is not due
-// to the target. An attempt that was charged to the retry budget is refunded.
-func (l *Lease) Unsent(now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	if l.charged {
-		l.target.group.budget.refund(now)
-		l.target.group.extraShares.countExtra(l.team, -1, l.target.group.budget.window, now)
-	}
-	l.fleet.fairness.recordServed(l.team, -1, now)
-	l.release(now)
-}
-
-// Succeeded ends a lease whose response was received in full and is not an
-// error.
-func (l *Lease) Succeeded(now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	responseTime := now.Sub(l.sentAt)
-	median := l.target.group.latency(l.kind).median
-	if !l.streamingSince.IsZero() {
-		responseTime = l.streamingSince.Sub(l.sentAt)
-	}
-	responseTime = l.workTime(responseTime)
-	l.recordResponse(responseTime, now)
-	l.startAnswered(responseTime, median, now)
-	if l.run == l.target.run && !l.target.waiting(now) {
-		l.target.resumes = false
-	}
-	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends = 0
-	usual := float64(responseTime) / l.fleet.transientSlowness(l.target, now)
-	l.target.group.addResponseTime(l.kind, time.Duration(usual))
-	l.countResponse(responseTime)
-	l.release(now)
-}
-
-// Failed ends a lease whose response was an error.
-func (l *Lease) Failed(now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	l.target.lastObservedAt = now
-	l.target.recordError()
-	l.countFailure()
-	l.startRefused(now)
-	l.release(now)
-}
-
-// Refused ends a lease whose request the target refused. If gone is true, another
-// instance has the address of the target, which gets no more requests.
-func (l *Lease) Refused(gone bool, now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	l.target.lastObservedAt = now
-	l.target.recordError()
-	l.startRefused(now)
-	if gone {
-		l.recordDeparture(true, now)
-	} else {
-		l.countFailure()
-	}
-	l.release(now)
-}
-
-// NoResponse ends a lease whose request got no response or no connection.
-func (l *Lease) NoResponse(now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	l.target.lastObservedAt = now
-	l.target.recordNoResponse(now)
-	l.countFailure()
-	l.startUnanswered(now)
-	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends++
-	l.release(now)
-}
-
-// OverLimit ends a lease whose new connection was reset by a target that is at
-// its connection limit.
-func (l *Lease) OverLimit(now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	l.target.recordOverLimit(now)
-	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends = 0
-	l.release(now)
-}
-
-// Abandoned ends a lease whose response is no longer needed. If the response
-// was overdue by then, the elapsed time is recorded as its response time, which
-// also ends a backoff of the target as a response would.
-func (l *Lease) Abandoned(now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	if !l.overdueAt.IsZero() && now.After(l.overdueAt) {
-		l.recordResponse(l.workTime(now.Sub(l.sentAt)), now)
-		l.countResponse(l.workTime(now.Sub(l.sentAt)))
-	}
-	l.release(now)
-}
-
-// recordResponse updates the health of the target with a response time, and keeps a
-// late response for LateResponses. What the slowness figure of the target explains does
-// not count against it: its machine may be normal again before other VMs know. The caller holds l.fleet.mu.
-func (l *Lease) recordResponse(responseTime time.Duration, now time.Time) {
-	median := l.target.group.latency(l.kind).median
-	median = time.Duration(float64(median) * l.fleet.transientSlowness(l.target, now))
-	late := l.target.recordResponse(responseTime, median, now)
-	l.target.lastObservedAt = now
-	if late {
-		l.fleet.addLate(l.target, now)
-	}
-}
-
-// ReportLoad records the load that the target reported with a response: the
-// requests that it runs and those in its queue.
-func (l *Lease) ReportLoad(running, waiting int, now time.Time) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	l.target.setReportedLoad(running, waiting, now)
-}
-
 // RecheckQueue serves the queue that a waiter is in. It is needed because a
 // target may become usable merely because time passes, for example when a
 // backoff ends.
--- a/core/process/placement/link.go
+++ b/core/process/placement/link.go
@@ -78,8 +78,8 @@
 	return initialCentreCost
 }
 
-// Connected records that the request goes out on a connection of which it is the first
-// request, and how long the TCP handshake took. The handshake is not part of the target's
+// Connected records that the request is the first one on its connection, and how long the
+// TCP handshake of that took. The handshake is not part of the target's
 // response time: one to another data centre would show a normal target to be slow.
 func (l *Lease) Connected(took time.Duration, now time.Time) {
 	f := l.fleet
@@ -96,7 +96,7 @@
 	}
 }
 
-// restart counts the response time from now. The caller holds l.fleet.mu.
+// restart makes the response time count from now. The caller holds l.fleet.mu.
 func (l *Lease) restart(now time.Time) {
 	if !l.overdueAt.IsZero() {
 		l.overdueAt = l.overdueAt.Add(now.Sub(l.sentAt))
@@ -104,9 +104,9 @@
 	l.sentAt = now
 }
 
-// Late returns the time after which the response is overdue, from the time after which one
-// of a usual target in the own data centre is.
-func (l *Lease) Late(usual time.Duration) time.Duration {
+// OverdueAfter returns the time after which the response is overdue. usual is that time for
+// a target in the own data centre whose machine is as fast as usual.
+func (l *Lease) OverdueAfter(usual time.Duration) time.Duration {
 	return l.link + time.Duration(float64(usual)*l.slowness)
 }
 
