placement: names of the slow start and of the slowness reports

startAnswered, startRefused and the like read as if something started; they add evidence to a slow start, as observeStart does. What decides whether a target stays in service, or its data centre can be used, stood in four and three places.

--- a/core/process/placement/budget.go
+++ b/core/process/placement/budget.go
@@ -27,7 +27,7 @@
 	// summationError is more than the rounding error of the sum over all buckets.
 	summationError = 1e-6
 	// initialRatioFraction is the fraction of the allowed ratio that a process may use
-	// when it starts. It is enough for a part of the hedges of a calm time.
+	// when it starts. It is enough for a part of the hedges at usual load.
 	initialRatioFraction = 0.15
 )
 
@@ -56,8 +56,7 @@
 }
 
 // newBudget returns a budget for a process that started at startedAt, with no
-// attempts counted yet.
-// The window is at least one second.
+// attempts counted yet. The window is at least one second.
 func newBudget(limits Limits, startedAt time.Time) retryBudget {
 	return retryBudget{ratio: limits.extraRatio, slack: limits.extraSlack, window: max(limits.extraWindow, time.Second), startedAt: startedAt, roundingOffset: rand.Float64()}
 }
--- a/core/process/placement/centre.go
+++ b/core/process/placement/centre.go
@@ -37,6 +37,12 @@
 	return c != nil && c.unansweredSends >= unreachableThreshold && !c.vmsAlive
 }
 
+// centreUsable reports whether a data centre is in service and reachable. The caller holds
+// f.mu.
+func (f *Fleet) centreUsable(name string) bool {
+	return !f.outOfService[name] && !f.unreachable(name)
+}
+
 // reachabilityOf returns the reachability of a data centre and creates the
 // entry on first use. The caller holds f.mu.
 func (f *Fleet) reachabilityOf(name string) *centreReachability {
--- a/core/process/placement/choose.go
+++ b/core/process/placement/choose.go
@@ -77,11 +77,12 @@
 
 // expectedTime returns the estimated time to the response of a request sent
 // now, including queueing at the target, the slowness of its machine and the
-// expected cost of failures. The
-// result contains random jitter. The median is that of the service for this
-// kind of request, 0 if unknown. If the target is due for a trial request, a
-// slowdown above 1 is ignored. The cost of the data centre is added for targets in
-// others except the preferred one, which may be nil.
+// expected cost of failures. The result contains random jitter. The median is
+// that of the service for this kind of request, 0 if unknown. If the target is
+// due for a trial request, a slowdown above 1 is ignored, and so is the cost of
+// failures of one whose latest request got no response. The costs of the data
+// centre and of a new connection are added for targets in other data centres,
+// except for the preferred one, which may be nil.
 func (f *Fleet) expectedTime(t, preferred *Target, median time.Duration, now time.Time) time.Duration {
 	if median <= 0 {
 		median = defaultResponseTime
--- a/core/process/placement/connections.go
+++ b/core/process/placement/connections.go
@@ -76,7 +76,7 @@
 	var best *Target
 	for _, t := range g.targets {
 		switch {
-		case g.sideOf(t) == noSide || t.departure.known() || f.outOfService[t.instance.DataCentre()] || f.unreachable(t.instance.DataCentre()):
+		case g.sideOf(t) == noSide || t.departure.known() || !f.centreUsable(t.instance.DataCentre()):
 		case t.instance.DataCentre() == f.ownCentre:
 			return nil
 		case best == nil || t.rank > best.rank:
--- a/core/process/placement/finding.go
+++ b/core/process/placement/finding.go
@@ -36,7 +36,8 @@
 }
 
 // addLate keeps a late response, or a random part of them for a target with many
-// responses. The caller holds f.mu.
+// responses. A target in slow start gets only its share of the requests, so its responses
+// are further apart. The caller holds f.mu.
 func (f *Fleet) addLate(t *Target, now time.Time) {
 	interval := f.responseInterval(t.group, now)
 	if t.start.active() && f.hasEstablished(t.group, now) {
@@ -69,8 +70,9 @@
 }
 
 // Findings returns what recent requests of this VM showed about its targets:
-// the unhealthy ones (slow, failing or not responding), and those that other
-// VMs reported unhealthy but that have responded well since. The VMs share
+// the unhealthy ones (slow, failing or not responding), those that other VMs
+// reported unhealthy but that have responded well since, and those in slow
+// start whose latest response was normal. The VMs share
 // their findings because each of them sends few requests to a given target:
 // with 60 VMs, about one a second, so a VM on its own would take many seconds
 // to detect a slow target.
@@ -91,7 +93,7 @@
 			out = append(out, discovery.NewHealthFinding(id, true, age))
 		} else if t.peerReport.unhealthy && t.slowSince.IsZero() && t.lastObservedAt.After(t.peerReport.observedAt) {
 			out = append(out, discovery.NewHealthFinding(id, false, age))
-		} else if age, ok := t.startNormalSince(now); ok {
+		} else if t.answeredNormally() {
 			out = append(out, discovery.NewHealthFinding(id, false, age))
 		}
 	}
@@ -123,7 +125,7 @@
 			f.beginAfterFinding(t, now)
 			f.observeStart(t, startOverloaded, observedAt, now)
 		} else {
-			f.startRecovered(t, observedAt, now)
+			f.observeStartRecovery(t, observedAt, now)
 		}
 	}
 }
@@ -150,8 +152,8 @@
 
 // trialDue reports whether a trial request is due if the target is being
 // avoided: this VM has no request in flight there and has sent none for longer
-// than ownTrialInterval. The more VMs share the target, the less often each of
-// them sends one.
+// than ownTrialInterval. This time is longer for a target that gives no response,
+// and at most soloTrialInterval for one that only this VM finds slow.
 func (f *Fleet) trialDue(t *Target, now time.Time) bool {
 	interval := f.ownTrialInterval()
 	if t.start.failed {
@@ -164,7 +166,8 @@
 }
 
 // ownTrialInterval returns the time between two trial requests of this VM to
-// the same target.
+// the same target. The more VMs share the target, the less often each of them
+// sends one.
 func (f *Fleet) ownTrialInterval() time.Duration {
 	return trialInterval * time.Duration(max(1, f.entryVMs/trialsPerInterval))
 }
--- a/core/process/placement/leaving.go
+++ b/core/process/placement/leaving.go
@@ -148,9 +148,13 @@
 // inService reports whether the target is listed, of a version that may get requests, and
 // its data centre in service and reachable. The caller holds f.mu.
 func (f *Fleet) inService(t *Target) bool {
-	return t.listed && t.group.admits(t) && !f.outOfService[t.instance.DataCentre()] && !f.unreachable(t.instance.DataCentre())
+	return t.listed && t.group.admits(t) && f.centreUsable(t.instance.DataCentre())
 }
 
+// stays reports whether the target is in service and its run is not known to end. The caller
+// holds f.mu.
+func (f *Fleet) stays(t *Target) bool { return f.inService(t) && !t.departure.known() }
+
 // lastResort reports whether a leaving target may still get requests, because every
 // other target of its service is leaving, out of service or waiting. The caller holds
 // f.mu.
@@ -159,7 +163,7 @@
 		return false
 	}
 	for _, other := range t.group.targets {
-		if !other.departure.known() && !other.waiting(now) && f.inService(other) {
+		if f.stays(other) && !other.waiting(now) {
 			return false
 		}
 	}
--- a/core/process/placement/open.go
+++ b/core/process/placement/open.go
@@ -23,7 +23,7 @@
 	preferred := f.preferredRemote(g)
 	var best *Target
 	for _, t := range g.targets {
-		if t == preferred || t.instance.DataCentre() == f.ownCentre || !f.inService(t) || t.departure.known() {
+		if t == preferred || t.instance.DataCentre() == f.ownCentre || !f.stays(t) {
 			continue
 		}
 		if best == nil || t.rank > best.rank {
@@ -38,7 +38,7 @@
 func (f *Fleet) mayKeepSecond(g *group) bool {
 	usable := 0
 	for _, t := range g.targets {
-		if f.inService(t) && !t.departure.known() {
+		if f.stays(t) {
 			usable++
 		}
 	}
--- a/core/process/placement/outcome.go
+++ b/core/process/placement/outcome.go
@@ -54,7 +54,7 @@
 	}
 	responseTime = l.workTime(responseTime)
 	l.recordResponse(responseTime, now)
-	l.startAnswered(responseTime, median, now)
+	l.observeStartResponse(responseTime, median, now)
 	if l.run == l.target.run && !l.target.waiting(now) {
 		l.target.resumes = false
 	}
@@ -72,7 +72,7 @@
 	l.target.lastObservedAt = now
 	l.target.recordError()
 	l.countFailure()
-	l.startRefused(now)
+	l.observeStartRejection(now)
 	l.release(now)
 }
 
@@ -83,7 +83,7 @@
 	defer l.fleet.mu.Unlock()
 	l.target.lastObservedAt = now
 	l.target.recordError()
-	l.startRefused(now)
+	l.observeStartRejection(now)
 	if gone {
 		l.recordDeparture(true, now)
 	} else {
@@ -99,7 +99,7 @@
 	l.target.lastObservedAt = now
 	l.target.recordNoResponse(now)
 	l.countFailure()
-	l.startUnanswered(now)
+	l.observeStartNoResponse(now)
 	l.fleet.reachabilityOf(l.target.instance.DataCentre()).unansweredSends++
 	l.release(now)
 }
--- a/core/process/placement/sharing.go
+++ b/core/process/placement/sharing.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// slowFactor is the slowness from which a target counts as slow when VMs tell each
-	// other of it.
+	// slowFactor is the slowness from which a target counts as slow in the reports of the
+	// VMs to each other.
 	slowFactor = 1.3
 	// slownessRenewal is the age from which the slowness of a target that is still slow
 	// is reported again.
@@ -26,28 +26,28 @@
 	at   time.Time
 }
 
-// isNews reports whether other VMs should be told of a slowness: that the target is slow,
-// unless they know it from shortly before, or that it no longer is.
-func (s sharedSlowness) isNews(slow bool, now time.Time) bool {
+// needsReport reports whether other VMs should be told of a slowness: that the target is slow,
+// unless they were told less than slownessRenewal ago, or that it no longer is.
+func (s sharedSlowness) needsReport(slow bool, now time.Time) bool {
 	if slow {
 		return !s.slow || now.Sub(s.at) > slownessRenewal
 	}
 	return s.slow
 }
 
-// noteSlowness keeps a slowness that a target reported for SlownessReports, if it is news.
-// The caller holds f.mu.
-func (f *Fleet) noteSlowness(t *Target, factor float64, now time.Time) {
+// queueSlownessReport queues a slowness that a target reported for SlownessReports, if other
+// VMs should be told of it. The caller holds f.mu.
+func (f *Fleet) queueSlownessReport(t *Target, factor float64, now time.Time) {
 	slow := factor >= slowFactor
-	if len(f.slownessReports) >= maxKeptSlowness || !t.sharedSlowness.isNews(slow, now) {
+	if len(f.slownessReports) >= maxKeptSlowness || !t.sharedSlowness.needsReport(slow, now) {
 		return
 	}
 	t.sharedSlowness = sharedSlowness{slow: slow, at: now}
 	f.slownessReports = append(f.slownessReports, t)
 }
 
-// SlownessReports returns the targets whose slowness has changed since the last call, with
-// the latest slowness of each.
+// SlownessReports returns the latest slowness of each target of which other VMs should be
+// told since the last call.
 func (f *Fleet) SlownessReports(now time.Time) []discovery.Slowness {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/process/placement/slowness.go
+++ b/core/process/placement/slowness.go
@@ -100,6 +100,6 @@
 	f.meanSlowness += pooledMeanWeight * (factor - f.meanSlowness)
 	if l.run == l.target.run {
 		l.target.slowness.observe(factor, f.meanSlowness, now)
-		f.noteSlowness(l.target, factor, now)
+		f.queueSlownessReport(l.target, factor, now)
 	}
 }
--- a/core/process/placement/slowstart.go
+++ b/core/process/placement/slowstart.go
@@ -34,8 +34,8 @@
 	// steppedAt is when the share last changed. Only what was observed later says
 	// something about the present share.
 	steppedAt time.Time
-	// heardAt is when the latest evidence of any kind was observed.
-	heardAt time.Time
+	// evidenceAt is when the latest evidence of any kind was observed.
+	evidenceAt time.Time
 	// normalAt is when this VM last got a normal response, zero if the target failed
 	// since.
 	normalAt time.Time
@@ -68,7 +68,7 @@
 
 // beginSlowStart returns a slow start that begins with a share.
 func beginSlowStart(initial float64, now time.Time) slowStart {
-	return slowStart{began: now, initial: initial, share: initial, steppedAt: now, heardAt: now}
+	return slowStart{began: now, initial: initial, share: initial, steppedAt: now, evidenceAt: now}
 }
 
 // active reports whether the slow start has begun and not ended.
@@ -79,7 +79,7 @@
 
 // add changes the share by what was observed at a time.
 func (s *slowStart) add(e startEvidence, at, now time.Time) {
-	s.heardAt = later(s.heardAt, at)
+	s.evidenceAt = later(s.evidenceAt, at)
 	stepDue := at.After(s.steppedAt) && now.Sub(s.steppedAt) >= minStepInterval
 	switch {
 	case e == startFailed:
@@ -103,7 +103,7 @@
 
 // advance lets the share grow if nothing was learned for quietInterval.
 func (s *slowStart) advance(now time.Time) {
-	if now.Sub(later(s.heardAt, s.steppedAt)) >= quietInterval {
+	if now.Sub(later(s.evidenceAt, s.steppedAt)) >= quietInterval {
 		s.setShare(min(1, s.share*growthFactor), now)
 	}
 }
--- a/core/process/placement/solo.go
+++ b/core/process/placement/solo.go
@@ -8,8 +8,8 @@
 
 // slowForThisVMOnly reports whether responses to this VM were slow, but neither failed nor
 // led to a finding of all VMs. Two slow responses may be due to queues at the target or to
-// this VM. The other VMs then use the target and send no trial requests for this one, which
-// would go to other data centres for the 18 s that 79 VMs have between two trials of one.
+// this VM. The other VMs then use the target without a finding that it is healthy, and this
+// VM would send to other data centres for ownTrialInterval, which is 18 s with 79 VMs.
 func (t *Target) slowForThisVMOnly(now time.Time) bool {
 	return t.slowdown > slowThreshold && t.consecutiveFailures == 0 && t.errorRate <= errorRateThreshold && !t.reportedUnhealthy(now)
 }
--- a/core/process/placement/starting.go
+++ b/core/process/placement/starting.go
@@ -45,7 +45,7 @@
 		return
 	}
 	for _, other := range t.group.targets {
-		if other != t && !other.departure.known() && f.inService(other) && !other.start.active() {
+		if other != t && f.stays(other) && !other.start.active() {
 			f.beginSlowStart(t, cause, now)
 			return
 		}
@@ -53,9 +53,9 @@
 }
 
 // beginAfterFinding begins a slow start of a target that other VMs found unhealthy, unless
-// this is not special to it: another target of its service is in slow start, and this one
-// gets more requests than usual, or is unhealthy too, or all of them have more requests
-// than slots. The caller holds f.mu.
+// the cause may be the load of the whole service: the targets have at least as many requests
+// as slots, or another target is unhealthy too, or is in slow start, so that this one gets
+// more requests than usual. The caller holds f.mu.
 func (f *Fleet) beginAfterFinding(t *Target, now time.Time) {
 	if t.group.load >= 1 {
 		return
@@ -70,8 +70,7 @@
 
 // beginSlowStart begins a slow start of a target, if its service has others. The first
 // trial requests to it are due at random times, so that the VMs don't all send theirs at
-// once.
-// The caller holds f.mu.
+// once. The caller holds f.mu.
 func (f *Fleet) beginSlowStart(t *Target, cause string, now time.Time) {
 	if f.noSlowStart || t.start.active() || !t.hasSibling() {
 		return
@@ -142,20 +141,20 @@
 	t.start = slowStart{}
 }
 
-// startRecovered lets the share of a target grow that other VMs found healthy. If it failed
-// this VM before, the VM uses it again, with its share: a trial request of its own would be
-// due only after many seconds. Without an established sibling it does not, since all VMs
-// would send all requests to the first target of the service that is back. The caller
-// holds f.mu.
-func (f *Fleet) startRecovered(t *Target, observedAt, now time.Time) {
+// observeStartRecovery adds the finding of other VMs that a target is healthy. If the latest
+// request of this VM got no response, the target is used again, with its share: a trial
+// request of this VM would be due only after many seconds. This needs an established sibling,
+// since otherwise all VMs would send all requests to the first target that is back. The
+// caller holds f.mu.
+func (f *Fleet) observeStartRecovery(t *Target, observedAt, now time.Time) {
 	if !t.start.failed || observedAt.After(t.lastObservedAt) && f.hasEstablished(t.group, now) {
 		f.observeStart(t, startNormal, observedAt, now)
 	}
 }
 
-// startAnswered adds a successful response to the slow start of the lease's target. The
+// observeStartResponse adds a successful response to the slow start of the lease's target. The
 // caller holds l.fleet.mu.
-func (l *Lease) startAnswered(responseTime, median time.Duration, now time.Time) {
+func (l *Lease) observeStartResponse(responseTime, median time.Duration, now time.Time) {
 	f, t := l.fleet, l.target
 	if !t.start.active() || l.run != t.run || l.sentAt.Before(t.start.began) {
 		return
@@ -165,7 +164,7 @@
 	switch ratio := float64(responseTime) / float64(max(median, 1)); {
 	case compared && ratio > lateSample:
 		e = startOverloaded
-	case compared && ratio > normalRatio, t.busierThanSiblings(now):
+	case compared && ratio > normalRatio || t.busierThanSiblings(now):
 		e = startBusy
 	}
 	if e == startNormal {
@@ -174,17 +173,17 @@
 	f.observeStart(t, e, now, now)
 }
 
-// startRefused adds a rejection or an error response. The caller holds l.fleet.mu.
-func (l *Lease) startRefused(now time.Time) {
+// observeStartRejection adds a rejection or an error response. The caller holds l.fleet.mu.
+func (l *Lease) observeStartRejection(now time.Time) {
 	if l.target.errorRate > errorRateThreshold && l.target.group.load < 1 {
 		l.fleet.beginSlowStart(l.target, causeErrors, now)
 	}
 	l.fleet.observeStart(l.target, startOverloaded, now, now)
 }
 
-// startUnanswered adds a request without a response or connection. The caller holds
+// observeStartNoResponse adds a request without a response or connection. The caller holds
 // l.fleet.mu.
-func (l *Lease) startUnanswered(now time.Time) {
+func (l *Lease) observeStartNoResponse(now time.Time) {
 	l.fleet.beginSlowStart(l.target, causeFailed, now)
 	l.fleet.observeStart(l.target, startFailed, now, now)
 }
@@ -206,9 +205,9 @@
 	return load >= max(1, t.group.load)
 }
 
-// takesRequests reports whether the target is in service and answers this VM, if only
-// slowly. The siblings of a target that is avoided at first get more requests and become
-// slower, and must not be left for it because of that. The caller holds f.mu.
+// takesRequests reports whether the target is in service and answers this VM. It may be slow:
+// the siblings of a target in slow start get more requests and become slower, and are still
+// preferred to it. The caller holds f.mu.
 func (f *Fleet) takesRequests(t *Target, now time.Time) bool {
 	return f.selectable(t, now) && !now.Before(t.downUntil) && t.consecutiveFailures == 0 && !t.stalled(now)
 }
@@ -230,7 +229,8 @@
 // service that has no other ones share its requests. It returns 0 if none is in slow
 // start. The caller holds f.mu.
 func (f *Fleet) largestShare(g *group, now time.Time) float64 {
-	starting, largest := false, 0.0
+	starting := false
+	largest := 0.0
 	for _, t := range g.targets {
 		if !t.start.active() {
 			continue
@@ -261,10 +261,8 @@
 	return !t.start.active() || f.trialDue(t, now) || rand.Float64()*largest < t.start.share
 }
 
-// startNormalSince returns the age of the target's latest response to this VM, if it is in
-// slow start and the response was normal. The VM reports it, so that the share grows at the
-// other VMs too.
-func (t *Target) startNormalSince(now time.Time) (age time.Duration, ok bool) {
-	age = now.Sub(t.start.normalAt)
-	return age, t.start.active() && !t.start.normalAt.IsZero() && t.start.normalAt.Equal(t.lastObservedAt) && age <= maxReportAge
+// answeredNormally reports whether the target is in slow start and its latest response to this
+// VM was normal. The VM reports this, so that the share grows at the other VMs too.
+func (t *Target) answeredNormally() bool {
+	return t.start.active() && !t.start.normalAt.IsZero() && t.start.normalAt.Equal(t.lastObservedAt)
 }
--- a/core/process/placement/version.go
+++ b/core/process/placement/version.go
@@ -123,8 +123,7 @@
 // hasNew reports whether a target of the new version can be used. The caller holds f.mu.
 func (g *group) hasNew() bool {
 	for _, t := range g.targets {
-		dataCentre := t.instance.DataCentre()
-		if g.sideOf(t) == newSide && t.listed && !t.departure.known() && !g.fleet.outOfService[dataCentre] && !g.fleet.unreachable(dataCentre) {
+		if g.sideOf(t) == newSide && t.listed && !t.departure.known() && g.fleet.centreUsable(t.instance.DataCentre()) {
 			return true
 		}
 	}
--- a/core/process/placement/warm.go
+++ b/core/process/placement/warm.go
@@ -38,8 +38,8 @@
 }
 
 // warmTarget returns the healthy target of one side of a service in the VM's own data
-// centre, or else anywhere, that the VM prefers. It returns nil if there is none, or if the targets may
-// not accept so many connections. The caller holds f.mu.
+// centre, or else anywhere, that the VM prefers. It returns nil if there is none, or if the
+// targets may not accept so many connections. The caller holds f.mu.
 func (f *Fleet) warmTarget(g *group, wanted side, now time.Time) *Target {
 	var best *Target
 	usable := 0
