--- a/core/process/placement/fairness_test.go
+++ b/core/process/placement/fairness_test.go
@@ -38,15 +38,10 @@
 // shared, all requests belong to one team. A request that would wait for longer than
 // fairnessMaxWait, or that has, is refused.
 func runTeams(overload float64, hot int, factor float64, shared bool) []teamLoad {
-	f := newTestFleet(routing.NewService("s-1", "").WithMaxConnections(4), "dc-1", "dc-1", "dc-1")
-	capacity := 0
-	for {
-		if _, ok := f.Acquire(placement.NewLeaseRequest("s-1", "k"), start); !ok {
-			break
-		}
-		capacity++
+	newFleet := func() *placement.Fleet {
+		return newTestFleet(routing.NewService("s-1", "").WithMaxConnections(4), "dc-1", "dc-1", "dc-1")
 	}
-	f = newTestFleet(routing.NewService("s-1", "").WithMaxConnections(4), "dc-1", "dc-1", "dc-1")
+	capacity := len(fill(newFleet(), placement.NewLeaseRequest("s-1", "k"), start))
 	rng := rand.New(rand.NewPCG(1, 2))
 	rate := overload * float64(capacity) / fairnessService.Seconds()
 	total := 0.0
@@ -66,7 +61,9 @@
 		}
 	}
 	sort.Slice(steps, func(i, j int) bool { return steps[i].at.Before(steps[j].at) })
-	return serveSteps(f, steps, rng, shared)
+	p := &teamPlay{fleet: newFleet(), rng: rng, shared: shared, loads: make([]teamLoad, fairnessTeams)}
+	p.run(steps)
+	return p.loads
 }
 
 // waitingRequest is a request in the queue.
@@ -77,69 +74,83 @@
 	lease  chan *placement.Lease
 }
 
-// serveSteps runs arrivals, and the ends of the requests that they cause, in order.
-func serveSteps(f *placement.Fleet, arrivals []step, rng *rand.Rand, shared bool) []teamLoad {
-	loads := make([]teamLoad, fairnessTeams)
-	var ends []step
-	var queue []waitingRequest
-	serve := func(team int, l *placement.Lease, now time.Time) {
-		if now.Sub(start) > fairnessCalm {
-			loads[team].served++
-		}
-		ends = append(ends, step{at: now.Add(time.Duration((0.5 + rng.Float64()) * float64(fairnessService))), lease: l})
-		sort.Slice(ends, func(i, j int) bool { return ends[i].at.Before(ends[j].at) })
-	}
-	collect := func(now time.Time) {
-		var left []waitingRequest
-		for _, w := range queue {
-			select {
-			case l := <-w.lease:
-				serve(w.team, l, now)
-				continue
-			default:
-			}
-			if now.Before(w.until) || !f.Dequeue(w.waiter) {
-				left = append(left, w)
-			}
-		}
-		queue = left
-	}
+// teamPlay serves the requests of teams.
+type teamPlay struct {
+	fleet *placement.Fleet
+	rng   *rand.Rand
+	// shared is set if all requests belong to one team.
+	shared bool
+	loads  []teamLoad
+	// ends holds the ends of the requests that are running, in order.
+	ends  []step
+	queue []waitingRequest
+}
+
+// run runs arrivals, and the ends of the requests that they cause, in order.
+func (p *teamPlay) run(arrivals []step) {
 	for len(arrivals) > 0 {
-		now := arrivals[0].at
-		if len(ends) > 0 && ends[0].at.Before(now) {
-			now = ends[0].at
-			l := ends[0].lease
-			ends = ends[1:]
-			l.Succeeded(now)
-			collect(now)
+		if now := arrivals[0].at; len(p.ends) == 0 || !p.ends[0].at.Before(now) {
+			p.arrive(arrivals[0].team, now)
+			arrivals = arrivals[1:]
 			continue
 		}
-		team := arrivals[0].team
-		arrivals = arrivals[1:]
-		collect(now)
-		if now.Sub(start) > fairnessCalm {
-			loads[team].sent++
-		}
-		name := fmt.Sprintf("t-%d", team)
-		if shared {
-			name = ""
-		} else {
-			f.RecordDemand(name, 1, now)
-		}
-		r := placement.NewLeaseRequest("s-1", "k").ForTeam(name)
-		if f.ExpectedWaitOf(r, placement.NewPriority(0, 0), now) > fairnessMaxWait {
+		end := p.ends[0]
+		p.ends = p.ends[1:]
+		end.lease.Succeeded(end.at)
+		p.collect(end.at)
+	}
+}
+
+// arrive sends a request of a team, queues or refuses it.
+func (p *teamPlay) arrive(team int, now time.Time) {
+	p.collect(now)
+	if now.Sub(start) > fairnessCalm {
+		p.loads[team].sent++
+	}
+	name := fmt.Sprintf("t-%d", team)
+	if p.shared {
+		name = ""
+	} else {
+		p.fleet.RecordDemand(name, 1, now)
+	}
+	r := placement.NewLeaseRequest("s-1", "k").ForTeam(name)
+	if p.fleet.ExpectedWaitOf(r, placement.NewPriority(0, 0), now) > fairnessMaxWait {
+		return
+	}
+	if l, ok := p.fleet.Acquire(r, now); ok {
+		p.serve(team, l, now)
+		return
+	}
+	w := waitingRequest{team: team, until: now.Add(fairnessMaxWait), lease: make(chan *placement.Lease, 1)}
+	w.waiter = p.fleet.Enqueue(r, placement.NewPriority(0, 0), w.until, w.lease, now)
+	p.queue = append(p.queue, w)
+	p.collect(now)
+}
+
+// serve begins a request that has a lease.
+func (p *teamPlay) serve(team int, l *placement.Lease, now time.Time) {
+	if now.Sub(start) > fairnessCalm {
+		p.loads[team].served++
+	}
+	p.ends = append(p.ends, step{at: now.Add(time.Duration((0.5 + p.rng.Float64()) * float64(fairnessService))), lease: l})
+	sort.Slice(p.ends, func(i, j int) bool { return p.ends[i].at.Before(p.ends[j].at) })
+}
+
+// collect serves the queued requests that have a lease, and drops those whose time is over.
+func (p *teamPlay) collect(now time.Time) {
+	var left []waitingRequest
+	for _, w := range p.queue {
+		select {
+		case l := <-w.lease:
+			p.serve(w.team, l, now)
 			continue
+		default:
 		}
-		if l, ok := f.Acquire(r, now); ok {
-			serve(team, l, now)
-			continue
+		if now.Before(w.until) || !p.fleet.Dequeue(w.waiter) {
+			left = append(left, w)
 		}
-		w := waitingRequest{team: team, until: now.Add(fairnessMaxWait), lease: make(chan *placement.Lease, 1)}
-		w.waiter = f.Enqueue(r, placement.NewPriority(0, 0), w.until, w.lease, now)
-		queue = append(queue, w)
-		collect(now)
 	}
-	return loads
+	p.queue = left
 }
 
 // shares returns the share of requests served over all teams, the least share of any team
