--- a/core/process/dispatch/authenticate.go
+++ b/core/process/dispatch/authenticate.go
@@ -168,9 +168,7 @@
 		if w == nil {
 			continue
 		}
-		if !q.dispatcher.fleet.Dequeue(w) {
-			(<-q.leases[n]).Unsent(now)
-		}
+		q.leaveQueue(n, now)
 		q.waiters[n] = nil
 		q.state.GiveUp(n)
 	}
--- a/core/process/dispatch/authenticate_test.go
+++ b/core/process/dispatch/authenticate_test.go
@@ -122,7 +122,28 @@
 	return relay.NewRequest("id", "GET", "h", "/", "/", nil, nil, time.Now()).WithCredential(relay.ReadCredential([]string{key}))
 }
 
-var success = relay.NewAnswered(relay.NewResponse(200, nil, nil, "sig"), relay.Load{})
+// Outcomes of sends.
+var (
+	success = relay.NewAnswered(relay.NewResponse(200, nil, nil, "sig"), relay.Load{})
+	full    = relay.NewDeclined(relay.Load{}, false, "full")
+)
+
+// revokingSender declines the sends before number at, and calls revoke in this one before it
+// returns its outcome after a delay.
+func revokingSender(at int, revoke func(), delay time.Duration, outcome relay.Outcome) *scriptedSender {
+	return &scriptedSender{atSend: func(n int) relay.Outcome {
+		switch {
+		case n < at:
+			time.Sleep(5 * time.Millisecond)
+			return full
+		case n > at:
+			return success
+		}
+		revoke()
+		time.Sleep(delay)
+		return outcome
+	}}
+}
 
 // A key that is taken away, or a confirmation that expires, after the first attempt must end
 // retries and hedges too.
@@ -143,9 +164,9 @@
 		// at is the number of the send after which the key is gone.
 		at int
 	}{
-		{"retry", relay.NewDeclined(relay.Load{}, false, "full"), 0, true, 1},
+		{"retry", full, 0, true, 1},
 		{"free retry", relay.NewUnsent(nil), 0, true, 1},
-		{"second retry", relay.NewDeclined(relay.Load{}, false, "full"), 0, true, 2},
+		{"second retry", full, 0, true, 2},
 		{"hedge", success, 800 * time.Millisecond, false, 1},
 	}
 	for _, w := range withdrawals {
@@ -153,18 +174,7 @@
 			t.Run(w.name+", "+a.name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					var d *Dispatcher
-					s := &scriptedSender{atSend: func(n int) relay.Outcome {
-						if n < a.at {
-							time.Sleep(5 * time.Millisecond)
-							return relay.NewDeclined(relay.Load{}, false, "full")
-						}
-						if n > a.at {
-							return success
-						}
-						w.revoke(d)
-						time.Sleep(a.delay)
-						return a.outcome
-					}}
+					s := revokingSender(a.at, func() { w.revoke(d) }, a.delay, a.outcome)
 					d = teamDispatcher(s, teamTable("k"), "i-1", "i-2", "i-3")
 					answer, _ := d.Answer(t.Context(), teamRequest("k"))
 					assert.Equal(t, s.count(), a.at)
@@ -185,7 +195,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &scriptedSender{atSend: func(n int) relay.Outcome {
 			if n == 1 {
-				return relay.NewDeclined(relay.Load{}, false, "full")
+				return full
 			}
 			if n == 2 {
 				time.Sleep(800 * time.Millisecond)
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -190,19 +190,7 @@
 		return refusal, trace
 	}
 	d.recordDemand(table, plan, req)
-	q := &query{
-		dispatcher: d,
-		token:      token,
-		request:    req,
-		state:      relay.NewState(plan),
-		outcomes:   make(chan partOutcome, relay.MaxSends*len(plan.Services())),
-		leases:     make([]chan *placement.Lease, len(plan.Services())),
-		waiters:    make([]*placement.Waiter, len(plan.Services())),
-		latest:     make([]*subRequest, len(plan.Services())),
-		trace:      &trace,
-		identity:   identityOf(table, req),
-		allOrNone:  table.HasTeams() && len(route.Shards()) > 0,
-	}
+	q := d.newQuery(table, plan, req, token, &trace)
 	q.run(ctx)
 	token.giveBackUnlessSpent()
 	now := time.Now()
@@ -222,11 +210,10 @@
 	return defaultNetworkTime + answerMargin
 }
 
-// admit refuses a request immediately if its time is over, if this VM is leaving and
-// might not finish it, if too few of its
-// services have a target, or if the queues are so long that too few services
-// would get a target in time. The second result reports whether the request is
-// refused.
+// admit refuses a request immediately if its time is over, if this VM is leaving and might
+// not finish it, if too few of its services have a target, or if the queues are so long
+// that too few services would get a target in time. The second result reports whether the
+// request is refused.
 func (d *Dispatcher) admit(plan relay.Plan, req *relay.Request) (relay.Refused, bool) {
 	now := req.Arrived()
 	if !now.Before(plan.End()) {
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -7,15 +7,12 @@
 
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
+	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
-const (
-	// maxLoggedMissing bounds the number of missing services named in the log.
-	maxLoggedMissing = 8
-	// minHedgePostponement is the least time after which a postponed hedge is
-	// considered again, so that one that is not yet sent is not checked in a loop.
-	minHedgePostponement = time.Millisecond
-)
+// minHedgePostponement is the least time after which a postponed hedge is
+// considered again, so that one that is not yet sent is not checked in a loop.
+const minHedgePostponement = time.Millisecond
 
 // query is a request that is being answered. It has one part for each service
 // of its plan. Attempts run on goroutines of their own; of the query's mutable
@@ -60,6 +57,24 @@
 	outcome relay.Outcome
 }
 
+// newQuery returns a request that passed admission, with its token.
+func (d *Dispatcher) newQuery(table *routing.Table, plan relay.Plan, req *relay.Request, token *heldToken, trace *Trace) *query {
+	parts := len(plan.Services())
+	return &query{
+		dispatcher: d,
+		token:      token,
+		request:    req,
+		state:      relay.NewState(plan),
+		outcomes:   make(chan partOutcome, relay.MaxSends*parts),
+		leases:     make([]chan *placement.Lease, parts),
+		waiters:    make([]*placement.Waiter, parts),
+		latest:     make([]*subRequest, parts),
+		trace:      trace,
+		identity:   identityOf(table, req),
+		allOrNone:  table.HasTeams() && len(plan.Route().Shards()) > 0,
+	}
+}
+
 // run sends the parts and handles their outcomes until the answer is complete, ctx
 // ends, or the dispatcher ends all requests.
 func (q *query) run(ctx context.Context) {
@@ -160,9 +175,9 @@
 }
 
 // overdueAfter returns the time after which a response for part n is overdue:
-// the time estimated from recent response times and the link, but at most maxOverdueFraction
-// of the route's objective, or defaultOverdueFraction of the objective if there
-// is no estimate.
+// the time estimated from recent response times, the slowness of the target and the link,
+// but at most maxOverdueFraction of the route's objective, or defaultOverdueFraction of
+// the objective if there is no estimate.
 func (q *query) overdueAfter(n int, lease *placement.Lease) time.Duration {
 	objective := float64(q.state.Plan().Route().LatencyObjective())
 	delay, known := q.dispatcher.fleet.OverdueAfter(q.state.Plan().Services()[n], q.state.Plan().Route().Name())
@@ -172,19 +187,6 @@
 	return min(lease.OverdueAfter(delay), time.Duration(maxOverdueFraction*objective))
 }
 
-// deliver passes an outcome to run, or discards it if the query has finished.
-// The channel's buffer holds the outcomes of all attempts, so sending does not
-// block.
-func (q *query) deliver(o partOutcome) {
-	q.cancelMu.Lock()
-	defer q.cancelMu.Unlock()
-	if q.finished {
-		o.discard()
-		return
-	}
-	q.outcomes <- o
-}
-
 // handleWaiting handles the outcomes that have arrived meanwhile, so that what follows
 // an outcome is done once for all of them.
 func (q *query) handleWaiting(now time.Time) {
@@ -198,26 +200,6 @@
 	}
 }
 
-// discard closes the response of an outcome that is not used.
-func (o partOutcome) discard() {
-	if answered, ok := o.outcome.(relay.Answered); ok {
-		answered.Response().Close()
-	}
-}
-
-// discardPending closes the responses that arrived too late to be used. The
-// caller holds cancelMu, so no outcome can be delivered concurrently.
-func (q *query) discardPending() {
-	for {
-		select {
-		case o := <-q.outcomes:
-			o.discard()
-		default:
-			return
-		}
-	}
-}
-
 // handleOutcome applies an outcome to the state and sends the part again if the
 // resulting action is Retry or FreeRetry.
 func (q *query) handleOutcome(o partOutcome, now time.Time) {
@@ -301,52 +283,3 @@
 	}
 	q.sendIfLeased(n, now)
 }
-
-// finish removes the query from the queues, discards pending outcomes and
-// records the missing services in the trace. Attempts in flight continue, so
-// that their connections can be reused. If the caller has left they are
-// cancelled after callerLeftGrace. For a request that is sent at most once and
-// whose caller has left, attempts are not cancelled and no missing services are
-// recorded.
-func (q *query) finish(callerLeft bool) {
-	now := time.Now()
-	for n, w := range q.waiters {
-		if w == nil || q.dispatcher.fleet.Dequeue(w) {
-			continue
-		}
-		(<-q.leases[n]).Unsent(now)
-	}
-	q.cancelMu.Lock()
-	defer q.cancelMu.Unlock()
-	q.finished = true
-	q.discardPending()
-	if q.state.AtMostOnce() && callerLeft {
-		return
-	}
-	if callerLeft {
-		time.AfterFunc(callerLeftGrace, q.cancelAll)
-	}
-	for n := range q.state.NumParts() {
-		if q.state.Missing(n) && len(q.trace.missing) < maxLoggedMissing {
-			q.trace.missing = append(q.trace.missing, q.state.Describe(n))
-		}
-	}
-}
-
-// cancelAll cancels all attempts.
-func (q *query) cancelAll() {
-	q.cancelMu.Lock()
-	defer q.cancelMu.Unlock()
-	for _, cancel := range q.cancels {
-		cancel()
-	}
-}
-
-// isFinished reports whether the query has finished. An attempt that fails
-// after that because its context has ended does not count as a failure of its
-// target.
-func (q *query) isFinished() bool {
-	q.cancelMu.Lock()
-	defer q.cancelMu.Unlock()
-	return q.finished
-}
--- a/core/process/dispatch/replay_exchange_test.go
+++ b/core/process/dispatch/replay_exchange_test.go
@@ -4,16 +4,43 @@
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/process/health"
+	"github.com/mulberrydale/mulberrydale/core/process/placement"
 )
 
+// exchangeInterval is the time between two exchanges of what the VMs observed, which is
+// the interval of presences.
+const exchangeInterval = 400 * time.Millisecond
+
+// findingExchange passes what each VM observed to all of them until a replay ends.
+type findingExchange struct{ fleets []*placement.Fleet }
+
+func (x *findingExchange) run() {
+	table := health.NewTable()
+	for startedAt := time.Now(); time.Since(startedAt) < replayDuration; {
+		time.Sleep(exchangeInterval)
+		now := time.Now()
+		for _, f := range x.fleets {
+			table.AddFindings(f.Findings(now), now)
+			table.AddLate(f.LateResponses(now), now)
+		}
+		// The verdicts leave with the next presence of the control VM.
+		time.Sleep(exchangeInterval / 2)
+		now = time.Now()
+		verdicts := table.Verdicts(now)
+		for _, f := range x.fleets {
+			f.TakeFindings(verdicts, now)
+		}
+	}
+}
+
 // slownessExchange passes the slowness of targets between the VMs of one data centre as a
 // control VM does, until a time.
 type slownessExchange struct {
 	vms      []*siteVM
 	interval time.Duration
 	until    time.Time
-	// messages counts the reports of entry VMs that were not empty, and entries the targets in
-	// what was passed on.
+	// reports counts those of entry VMs that were not empty, sent the messages that were passed
+	// on, and entries the targets in these.
 	reports, entries, sent int
 }
 
@@ -29,15 +56,15 @@
 			}
 		}
 		time.Sleep(x.interval / 2)
-		news := table.Take(time.Now())
-		if len(news) == 0 {
+		changes := table.Take(time.Now())
+		if len(changes) == 0 {
 			continue
 		}
 		x.sent++
-		x.entries += len(news)
+		x.entries += len(changes)
 		time.Sleep(2 * localLink)
 		for _, v := range x.vms {
-			v.fleet.TakeSlowness(news, time.Now())
+			v.fleet.TakeSlowness(changes, time.Now())
 		}
 	}
 }
--- a/core/process/dispatch/replay_test.go
+++ b/core/process/dispatch/replay_test.go
@@ -13,7 +13,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
-	"github.com/mulberrydale/mulberrydale/core/process/health"
 	"github.com/mulberrydale/mulberrydale/core/process/placement"
 	"github.com/mulberrydale/mulberrydale/core/request/relay"
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -180,68 +179,6 @@
 		WithMaxAttempts(2).WithShards(shards, 20, 0.89)
 }
 
-// replayStats counts the answers of a replay.
-type replayStats struct {
-	mu       sync.Mutex
-	requests int
-	// credit is the sum of the credits of all answers.
-	credit  float64
-	refused int
-	failed  int
-	hedges  int
-	retries int
-	// longestRefusal is the longest time until a refused or failed answer, and
-	// longestNotRun until a refused one.
-	longestRefusal time.Duration
-	longestNotRun  time.Duration
-}
-
-// add counts an answer. A merged answer earns the square of the fraction of
-// shards it contains as credit if it took at most 95 ms, and a twentieth of
-// that if it took longer.
-func (t *replayStats) add(answer relay.Answer, trace Trace, took time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.requests++
-	t.hedges += trace.Hedges()
-	t.retries += trace.Retries()
-	switch a := answer.(type) {
-	case relay.Merged:
-		share := float64(replayShards-a.Missing()) / replayShards
-		credit := share * share
-		if took > 95*time.Millisecond {
-			credit /= 20
-		}
-		t.credit += credit
-	case relay.Refused:
-		if a.Code().Execution() == result.NotRun {
-			t.refused++
-			t.longestNotRun = max(t.longestNotRun, took)
-		} else {
-			t.failed++
-		}
-		t.longestRefusal = max(t.longestRefusal, took)
-	case relay.Relayed:
-	}
-}
-
-// addAll adds the counts of another replay.
-func (t *replayStats) addAll(other *replayStats) {
-	t.requests += other.requests
-	t.credit += other.credit
-	t.refused += other.refused
-	t.failed += other.failed
-	t.hedges += other.hedges
-	t.retries += other.retries
-	t.longestRefusal = max(t.longestRefusal, other.longestRefusal)
-	t.longestNotRun = max(t.longestNotRun, other.longestNotRun)
-}
-
-func (t *replayStats) String() string {
-	return fmt.Sprintf("%5d requests, credit %.3f, refused %d, failed %d, hedges %d, retries %d, longest wait for a refusal %d ms",
-		t.requests, t.credit/float64(t.requests), t.refused, t.failed, t.hedges, t.retries, t.longestRefusal.Milliseconds())
-}
-
 // answerFunc answers one request of a replay.
 type answerFunc func(ctx context.Context, r *relay.Request) (relay.Answer, Trace)
 
@@ -288,32 +225,6 @@
 	c.stats.add(answer, trace, time.Since(startedAt))
 }
 
-// exchangeInterval is the time between two exchanges of what the VMs observed, which is
-// the interval of presences.
-const exchangeInterval = 400 * time.Millisecond
-
-// findingExchange passes what each VM observed to all of them until a replay ends.
-type findingExchange struct{ fleets []*placement.Fleet }
-
-func (x *findingExchange) run() {
-	table := health.NewTable()
-	for startedAt := time.Now(); time.Since(startedAt) < replayDuration; {
-		time.Sleep(exchangeInterval)
-		now := time.Now()
-		for _, f := range x.fleets {
-			table.AddFindings(f.Findings(now), now)
-			table.AddLate(f.LateResponses(now), now)
-		}
-		// The verdicts leave with the next presence of the control VM.
-		time.Sleep(exchangeInterval / 2)
-		now = time.Now()
-		verdicts := table.Verdicts(now)
-		for _, f := range x.fleets {
-			f.TakeFindings(verdicts, now)
-		}
-	}
-}
-
 // newEntryVMs returns an answerFunc that distributes requests round-robin over
 // the VMs of a fault.
 func newEntryVMs(c *simCluster, list discovery.List, setup fault) answerFunc {
@@ -363,44 +274,6 @@
 	return out
 }
 
-// newBaseline returns an answerFunc that sends to one random target of each
-// shard and waits for all of them.
-func newBaseline(c *simCluster, seed uint64) answerFunc {
-	rng := rand.New(rand.NewPCG(seed, 5))
-	var mu sync.Mutex
-	return func(_ context.Context, r *relay.Request) (relay.Answer, Trace) {
-		ctx, cancel := context.WithDeadline(context.Background(), r.Arrived().Add(r.Timeout()))
-		defer cancel()
-		s := relay.NewState(relay.NewPlan(replayRoute(), "", r, 0))
-		outcomes := make(chan partOutcome, replayShards)
-		for n := range replayShards {
-			mu.Lock()
-			id := fmt.Sprintf("i-%d-%d", n, rng.IntN(targetsPerShard))
-			mu.Unlock()
-			s.RecordSend(n, nil, time.Hour, r.Arrived())
-			go (&baselineSend{ctx: ctx, target: c.targets[id], part: n, outcomes: outcomes}).run()
-		}
-		for range replayShards {
-			o := <-outcomes
-			s.HandleOutcome(o.part, o.outcome)
-			s.GiveUp(o.part)
-		}
-		return s.Answer(time.Now()), Trace{}
-	}
-}
-
-// baselineSend is one attempt of the baseline.
-type baselineSend struct {
-	ctx      context.Context
-	target   *simTarget
-	part     int
-	outcomes chan<- partOutcome
-}
-
-func (p *baselineSend) run() {
-	p.outcomes <- partOutcome{part: p.part, outcome: p.target.serve(p.ctx)}
-}
-
 // replays are the replayed loads, each with the minimum mean credit per request
 // that the dispatcher must reach and its minimum gain over the baseline.
 var replays = []struct {
--- a/core/process/dispatch/team_test.go
+++ b/core/process/dispatch/team_test.go
@@ -54,11 +54,7 @@
 			d.SetTable(routing.NewTable(1, []routing.Route{route}, services, routing.Limits{}).WithTeams(tt.teams))
 			f.SetTargets(discovery.NewList(instances, 1, now), now)
 			// The targets of one shard are busy for a second already.
-			for {
-				if _, ok := f.Acquire(placement.NewLeaseRequest(names[0], "search"), now.Add(-time.Second)); !ok {
-					break
-				}
-			}
+			occupy(f, names[0], "search", now.Add(-time.Second))
 			req := relay.NewRequest("id", "GET", "h", "/", "/", nil, nil, time.Now()).WithTimeout(200 * time.Millisecond).WithCredential(relay.ReadCredential([]string{"key"}))
 			answer, _ := d.Answer(context.Background(), req)
 			refused, ok := answer.(relay.Refused)
--- a/core/process/dispatch/token_test.go
+++ b/core/process/dispatch/token_test.go
@@ -43,6 +43,32 @@
 	return relay.NewAnswered(relay.NewResponse(200, nil, nil, "s"), relay.Load{})
 }
 
+// tokenDispatcher returns a dispatcher with a route to a service with a number of targets.
+func tokenDispatcher(sender Sender, targets int, public bool) *Dispatcher {
+	now := time.Now()
+	f := placement.NewFleet("vm", "dc-1", placement.NewLimits(10, 10, time.Second, 1, 1), now.Add(-time.Minute))
+	f.SetEntryVMs(1, now)
+	d := New(f, sender)
+	route := routing.NewRoute("r", "h", "/").WithTimeoutAndObjective(300*time.Millisecond, 100*time.Millisecond).WithMaxAttempts(2).
+		WithSplit([]routing.WeightedService{routing.NewWeightedService("s", 1)}).WithPublic(public)
+	d.SetTable(routing.NewTable(1, []routing.Route{route}, []routing.Service{routing.NewService("s", "").WithMaxConnections(1)}, routing.Limits{}))
+	var instances []discovery.Instance
+	for n := range targets {
+		instances = append(instances, discovery.NewInstance(string(rune('a'+n)), "s", "10.0.0.1:1", "dc-1", 1))
+	}
+	f.SetTargets(discovery.NewList(instances, 1, now), now)
+	return d
+}
+
+// occupy takes all capacity of a service.
+func occupy(f *placement.Fleet, service, kind string, now time.Time) {
+	for {
+		if _, ok := f.Acquire(placement.NewLeaseRequest(service, kind), now); !ok {
+			return
+		}
+	}
+}
+
 // A refused request that used quota, or a retry that took another token, would be a loss to
 // its team; a request that is sent without a token would exceed the quota.
 func TestRequestTakesOneToken(t *testing.T) {
@@ -72,27 +98,12 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			now := time.Now()
-			f := placement.NewFleet("vm", "dc-1", placement.NewLimits(10, 10, time.Second, 1, 1), now.Add(-time.Minute))
-			f.SetEntryVMs(1, now)
 			sender := &fixedSender{outcome: tt.outcome}
-			d := New(f, sender)
+			d := tokenDispatcher(sender, tt.targets, tt.public)
 			tokens := &countingTokens{decision: tt.decision}
 			d.SetTokens(tokens)
-			route := routing.NewRoute("r", "h", "/").WithTimeoutAndObjective(300*time.Millisecond, 100*time.Millisecond).WithMaxAttempts(2).
-				WithSplit([]routing.WeightedService{routing.NewWeightedService("s", 1)}).WithPublic(tt.public)
-			d.SetTable(routing.NewTable(1, []routing.Route{route}, []routing.Service{routing.NewService("s", "").WithMaxConnections(1)}, routing.Limits{}))
-			var instances []discovery.Instance
-			for n := range tt.targets {
-				instances = append(instances, discovery.NewInstance(string(rune('a'+n)), "s", "10.0.0.1:1", "dc-1", 1))
-			}
-			f.SetTargets(discovery.NewList(instances, 1, now), now)
 			if tt.busy {
-				for {
-					if _, ok := f.Acquire(placement.NewLeaseRequest("s", "r"), now); !ok {
-						break
-					}
-				}
+				occupy(d.fleet, "s", "r", time.Now())
 			}
 			req := relay.NewRequest("id", "GET", "h", "/", "/", nil, nil, time.Now()).WithTimeout(300 * time.Millisecond).WithTeam(tt.team)
 			answer, _ := d.Answer(context.Background(), req)
