gateway: what is logged and counted is apart from the membership

updateMembership had come to log target changes, confirmations, rollouts and link times as well; recordState does that now, right after it.

--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -25,8 +25,8 @@
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
-// membershipInterval is the time between two updates of the number of entry VMs
-// and the reachable data centres.
+// membershipInterval is the time between two updates of the number of entry VMs and the
+// reachable data centres, and between two calls of recordState.
 const membershipInterval = 250 * time.Millisecond
 
 // Entry is the entry role of a VM, which answers the requests of callers.
@@ -49,7 +49,7 @@
 	wasConfirmed bool
 	// countedTokens is used by updateTokens only.
 	countedTokens cluster.TokenStats
-	// links is used by updateMembership only.
+	// links is used by recordState only.
 	links linkLog
 }
 
@@ -70,10 +70,11 @@
 // called before Start.
 func (e *Entry) SetTargetTimes(times placement.TargetTimes) { e.fleet.SetTargetTimes(times) }
 
-// SetCluster sets the cluster that provides the number of entry VMs and the
-// reachable data centres, and makes it exchange findings on the health of
-// targets between the fleets of the entry VMs. It must be called before the
-// cluster runs and before Start.
+// SetCluster sets the cluster that provides the number of entry VMs, the reachable
+// data centres, the confirmation of the routes and the tokens of teams, and makes
+// it exchange findings on the health of targets, and their slowness, between the
+// fleets of the entry VMs. It must be called before the cluster runs and before
+// Start.
 func (e *Entry) SetCluster(c *cluster.Cluster) {
 	e.cluster = c
 	c.SetFindingSource(e.fleet)
@@ -129,7 +130,8 @@
 
 // Start runs four loops in the background until ctx ends: one closes connections
 // to targets that have been idle for too long, one opens connections before they are
-// needed, one collects garbage while no request runs, and one calls updateMembership.
+// needed, one collects garbage while no request runs, and one calls updateMembership
+// and recordState.
 func (e *Entry) Start(ctx context.Context) {
 	go (&poolLoop{pool: e.pool}).run(ctx)
 	go (&warmLoop{entry: e, startedAt: time.Now(), failedAt: make(map[string]time.Time)}).run(ctx)
@@ -138,9 +140,10 @@
 }
 
 // RoutesChanged applies accepted routes, the set of data centres that are out of
-// service, and the versions in use and rollouts. Version 0 means that no routes are accepted yet. The previous
-// routing table stays in use if the new one is not of a higher version or cannot
-// be decoded.
+// service, and the versions in use and rollouts. Version 0 means that no routes are
+// accepted yet. The previous routing table stays in use if the new one is not of a
+// higher version or cannot be decoded. The revision of the table in use is passed to the
+// confirmation, and its limits on heads to the limiter of the callers' listener.
 func (e *Entry) RoutesChanged(routes replica.Routes, now time.Time) {
 	e.fleet.SetOutOfService(routes.OutOfService(), now)
 	e.fleet.SetRollouts(routes.Rollouts(), now)
@@ -207,7 +210,8 @@
 
 func (l *poolLoop) run(ctx context.Context) { l.pool.Run(ctx) }
 
-// membershipLoop calls Entry.updateMembership every membershipInterval.
+// membershipLoop calls Entry.updateMembership and Entry.recordState every
+// membershipInterval.
 type membershipLoop struct{ entry *Entry }
 
 func (l *membershipLoop) run(ctx context.Context) {
@@ -217,6 +221,7 @@
 		select {
 		case <-ticker.C:
 			l.entry.updateMembership(time.Now())
+			l.entry.recordState()
 		case <-ctx.Done():
 			return
 		}
@@ -238,12 +243,17 @@
 	e.fleet.SetOutOfTouch(!known)
 	e.fleet.SetLiveCentres(e.cluster.ReachableDataCentres(now), now)
 	unreachable := e.fleet.UnreachableCentres()
-	e.gateway.telemetry.recordTargetChanges(e.fleet.TakeChanges())
-	e.watchConfirmation(bootclock.Now())
-	e.gateway.telemetry.recordRolloutRequests(e.fleet.TakeRolloutRequests())
-	e.links.write(e.fleet.LinkTimes(), e.log)
 	isolated := len(unreachable) > 0 && !e.dispatcher.Servable(now)
 	if e.isolated.Swap(isolated) != isolated {
 		e.log.Info("target reachability changed", zap.Bool("isolated", isolated), zap.Strings("data-centres", unreachable))
 	}
 }
+
+// recordState counts and logs what has changed of the targets, the confirmation of the
+// routes, the rollouts and the link times.
+func (e *Entry) recordState() {
+	e.gateway.telemetry.recordTargetChanges(e.fleet.TakeChanges())
+	e.watchConfirmation(bootclock.Now())
+	e.gateway.telemetry.recordRolloutRequests(e.fleet.TakeRolloutRequests())
+	e.links.write(e.fleet.LinkTimes(), e.log)
+}
--- a/core/process/gateway/teams_test.go
+++ b/core/process/gateway/teams_test.go
@@ -60,41 +60,46 @@
 	return status, retryAfter
 }
 
+// The headers of the key and of the team.
+const keyName, teamName = "Mulberrydale-Key", "Mulberrydale-Team"
+
+// keyHeaderTests are the header lines of requests. known is set if they hold the key of the
+// team.
+var keyHeaderTests = []struct {
+	name  string
+	lines string
+	known bool
+}{
+	{"known", keyName + ": secret-1\r\n", true},
+	{"known, in lower case", "mulberrydale-key: secret-1\r\n", true},
+	{"known, with space around it", keyName + ": \t secret-1 \t\r\n", true},
+	{"known, with a team that the caller claims", keyName + ": secret-1\r\n" + teamName + ": other\r\n" + teamName + ": third\r\n", true},
+	{"unknown", keyName + ": secret-2\r\n", false},
+	{"known in another case", keyName + ": Secret-1\r\n", false},
+	{"absent", "", false},
+	{"absent, with a team that the caller claims", teamName + ": kami\r\n", false},
+	{"empty", keyName + ":\r\n", false},
+	{"only space", keyName + ":   \r\n", false},
+	{"twice the same", keyName + ": secret-1\r\n" + keyName + ": secret-1\r\n", false},
+	{"twice, in other cases", keyName + ": secret-1\r\nmulberrydale-key: secret-2\r\n", false},
+	{"twice, one empty", keyName + ": secret-1\r\n" + keyName + ":\r\n", false},
+	{"a list", keyName + ": secret-1, secret-1\r\n", false},
+	{"a list with an empty element", keyName + ": secret-1,\r\n", false},
+	{"space inside", keyName + ": secret-1 x\r\n", false},
+	{"a tab inside", keyName + ": secret-1\tx\r\n", false},
+	{"in quotes", keyName + ": \"secret-1\"\r\n", false},
+	{"with a scheme", keyName + ": Bearer secret-1\r\n", false},
+	{"named in Connection", "Connection: mulberrydale-key\r\n" + keyName + ": secret-1\r\n", true},
+}
+
 // Every form of the key header but a single key must be treated like an unknown key, and on a
 // public route like none. No target may see what the caller sent in the headers of the key and
 // of the team.
 func TestKeyHeader(t *testing.T) {
-	const key, team = "Mulberrydale-Key", "Mulberrydale-Team"
-	tests := []struct {
-		name  string
-		lines string
-		known bool
-	}{
-		{"known", key + ": secret-1\r\n", true},
-		{"known, in lower case", "mulberrydale-key: secret-1\r\n", true},
-		{"known, with space around it", key + ": \t secret-1 \t\r\n", true},
-		{"known, with a team that the caller claims", key + ": secret-1\r\n" + team + ": other\r\n" + team + ": third\r\n", true},
-		{"unknown", key + ": secret-2\r\n", false},
-		{"known in another case", key + ": Secret-1\r\n", false},
-		{"absent", "", false},
-		{"absent, with a team that the caller claims", team + ": kami\r\n", false},
-		{"empty", key + ":\r\n", false},
-		{"only space", key + ":   \r\n", false},
-		{"twice the same", key + ": secret-1\r\n" + key + ": secret-1\r\n", false},
-		{"twice, in other cases", key + ": secret-1\r\nmulberrydale-key: secret-2\r\n", false},
-		{"twice, one empty", key + ": secret-1\r\n" + key + ":\r\n", false},
-		{"a list", key + ": secret-1, secret-1\r\n", false},
-		{"a list with an empty element", key + ": secret-1,\r\n", false},
-		{"space inside", key + ": secret-1 x\r\n", false},
-		{"a tab inside", key + ": secret-1\tx\r\n", false},
-		{"in quotes", key + ": \"secret-1\"\r\n", false},
-		{"with a scheme", key + ": Bearer secret-1\r\n", false},
-		{"named in Connection", "Connection: mulberrydale-key\r\n" + key + ": secret-1\r\n", true},
-	}
 	l := newLeafServer(t, reply(200, signatureHeader, "ok"))
 	s := newEntryServer(t, teamsTable(), l.instance("i-1", "s-1"))
 	s.entry.SetStrictRevocation(true)
-	for _, tt := range tests {
+	for _, tt := range keyHeaderTests {
 		t.Run(tt.name, func(t *testing.T) {
 			s.confirm()
 			wantStatus, wantTeams := 401, []string(nil)
@@ -109,8 +114,8 @@
 			received := l.requests()[before:]
 			assert.Equal(t, len(received), map[bool]int{true: 2, false: 1}[tt.known])
 			for _, r := range received {
-				assert.DeepEqual(t, r.Header.Values(key), []string(nil))
-				assert.DeepEqual(t, r.Header.Values(team), wantTeams)
+				assert.DeepEqual(t, r.Header.Values(keyName), []string(nil))
+				assert.DeepEqual(t, r.Header.Values(teamName), wantTeams)
 			}
 		})
 	}
--- a/core/process/gateway/telemetry.go
+++ b/core/process/gateway/telemetry.go
@@ -33,8 +33,8 @@
 
 // Telemetry counts the answers of the dispatcher and logs those that had an
 // error, a retry or a missing service, with a sample of the others. It serves
-// the metrics over HTTP. Requests that are refused because of their body are
-// neither counted nor logged.
+// the metrics over HTTP. A request that is refused because of its body is neither
+// counted nor logged here, unless there was no memory for the body.
 type Telemetry struct {
 	log *zap.Logger
 	// scope is a TestScope because ServeHTTP has to read the values, which no
