--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -101,16 +101,18 @@
 }
 
 // encodeRequest returns the bytes of the request, with the path and the query
-// exactly as the caller sent them. A long header and body are not copied, since
-// a request to many shards is in flight to all of them at once; they are the rest. The headers for the request id, the deadline
-// and the target replace headers of the same names from the caller, and
-// Content-Length is set from the body. Requests are written without
-// http.Transport, which could send them a second time.
+// exactly as the caller sent them. If the header and the body are longer than
+// maxCopiedBytes, they are not copied and returned as rest, since a request to
+// many shards is in flight to all of them at once; otherwise rest is nil. The
+// headers for the request id, the deadline and the target replace headers of the
+// same names from the caller, and so do those of the key and the team under a
+// table with teams. Content-Length is set from the body. Requests are written
+// without http.Transport, which could send them a second time.
 func (n HeaderNames) encodeRequest(a relay.Attempt, now time.Time) (head []byte, rest [][]byte) {
 	r := a.Request()
 	var header []byte
 	if a.Identity().HidesKey() {
-		header = r.PlainHeader(n.encodePlainHeader)
+		header = r.KeylessHeader(n.encodeKeylessHeader)
 	} else {
 		header = r.WireHeader(n.encodeHeader)
 	}
@@ -145,18 +147,24 @@
 // encodeHeader returns the fields of a caller's header that targets receive, without
 // those that encodeRequest sets.
 func (n HeaderNames) encodeHeader(h http.Header) []byte {
-	var out bytes.Buffer
-	// Writes to a bytes.Buffer never fail.
-	_ = h.WriteSubset(&out, map[string]bool{n.request: true, n.deadline: true, n.target: true})
-	return out.Bytes()
+	return encodeWithout(h, n.request, n.deadline, n.target)
 }
 
-// encodePlainHeader is encodeHeader without the caller's key and the team that the caller
-// claims to be.
-func (n HeaderNames) encodePlainHeader(h http.Header) []byte {
+// encodeKeylessHeader is encodeHeader without the caller's key and the team that the caller
+// claims to belong to.
+func (n HeaderNames) encodeKeylessHeader(h http.Header) []byte {
+	return encodeWithout(h, n.request, n.deadline, n.target, n.key, n.team)
+}
+
+// encodeWithout returns the fields of a header except those with the given names.
+func encodeWithout(h http.Header, names ...string) []byte {
+	excluded := make(map[string]bool, len(names))
+	for _, name := range names {
+		excluded[name] = true
+	}
 	var out bytes.Buffer
 	// Writes to a bytes.Buffer never fail.
-	_ = h.WriteSubset(&out, map[string]bool{n.request: true, n.deadline: true, n.target: true, n.key: true, n.team: true})
+	_ = h.WriteSubset(&out, excluded)
 	return out.Bytes()
 }
 
--- a/core/connection/exchange/response.go
+++ b/core/connection/exchange/response.go
@@ -85,10 +85,9 @@
 	}
 }
 
-// checkResponse returns an error if a final response is none of the protocol: if its
-// status is outside 200 to 599, or a field has a space in its name, usually before the
-// colon. net/http takes such a field for an unknown one, also if it declares the length of
-// the body.
+// checkResponse returns an error if a final response does not conform to HTTP: if its status
+// is outside 200 to 599, or a field has a space in its name, usually before the colon.
+// net/http treats such a field as an unknown one, even if it declares the length of the body.
 func checkResponse(res *http.Response) error {
 	if res.StatusCode < minFinalStatus || res.StatusCode > maxFinalStatus {
 		return result.New(result.FrameMalformed, "status %d is none of HTTP", res.StatusCode)
--- a/core/connection/leaf/pool.go
+++ b/core/connection/leaf/pool.go
@@ -27,7 +27,7 @@
 	// Sweep can close its connections as they become idle.
 	retiredTransportLifetime = time.Minute
 	// minReplaceInterval is the least time between two replacements of the connections to a
-	// leaf whose responses are none of HTTP.
+	// leaf whose responses do not conform to HTTP.
 	minReplaceInterval = time.Second
 	probePath          = "/health"
 	runPath            = "/run/"
--- a/core/connection/leaf/wire.go
+++ b/core/connection/leaf/wire.go
@@ -60,7 +60,7 @@
 		return Unusable{reason: "crossed"}
 	}
 	if !finalStatus(res.StatusCode) {
-		// This is no response of HTTP, whatever its headers say.
+		// The response does not conform to HTTP, whatever its headers say.
 		return Unusable{reason: "status " + strconv.Itoa(res.StatusCode)}
 	}
 	switch res.Header.Get(headerNotRun) {
--- a/core/connection/session/session.go
+++ b/core/connection/session/session.go
@@ -53,8 +53,8 @@
 	conn    net.Conn
 	address string
 	queue   chan []byte
-	// frames is told of each frame that was handled, nil if nothing is charged for them.
-	frames    frameCharger
+	// charger is told of each frame that was handled, nil if nothing is charged for them.
+	charger   frameCharger
 	closeOnce sync.Once
 	done      chan struct{}
 }
@@ -87,8 +87,8 @@
 }
 
 func newSession(conn net.Conn, address string) *Session {
-	frames, _ := conn.(frameCharger)
-	return &Session{conn: conn, address: address, queue: make(chan []byte, queueLength), frames: frames, done: make(chan struct{})}
+	charger, _ := conn.(frameCharger)
+	return &Session{conn: conn, address: address, queue: make(chan []byte, queueLength), charger: charger, done: make(chan struct{})}
 }
 
 // frameCharger is a connection that charges a budget for what arrives.
@@ -113,8 +113,8 @@
 			break
 		}
 		handler.Received(s, payload, time.Now())
-		if s.frames != nil {
-			s.frames.MessageDone()
+		if s.charger != nil {
+			s.charger.MessageDone()
 		}
 	}
 	s.Close()
--- a/core/request/relay/request.go
+++ b/core/request/relay/request.go
@@ -26,14 +26,14 @@
 	hasTeam     bool
 	key         Credential
 
-	// wireHeader is the result of WireHeader, plainHeader that of PlainHeader.
-	wireHeaderOnce  sync.Once
-	wireHeader      []byte
-	plainHeaderOnce sync.Once
-	plainHeader     []byte
-
-	// holders is the number of those that keep the request, beside the first one. When
-	// the last one has released it, release is called, unless it is nil.
+	// wireHeader is the result of WireHeader, keylessHeader that of KeylessHeader.
+	wireHeaderOnce    sync.Once
+	wireHeader        []byte
+	keylessHeaderOnce sync.Once
+	keylessHeader     []byte
+
+	// holders is the number of attempts that keep the request, -1 once its maker has
+	// released it too. release, which may be nil, is called then.
 	holders atomic.Int64
 	release func()
 }
@@ -89,10 +89,10 @@
 	return r
 }
 
-// Retain notes that an attempt keeps the request.
+// Retain records that an attempt keeps the request.
 func (r *Request) Retain() { r.holders.Add(1) }
 
-// Release notes that an attempt, or the one who made the request, no longer keeps it.
+// Release records that an attempt, or the one who made the request, no longer keeps it.
 func (r *Request) Release() {
 	if r.holders.Add(-1) < 0 && r.release != nil {
 		r.release()
@@ -122,11 +122,11 @@
 	return r.wireHeader
 }
 
-// PlainHeader returns the header as it is written to targets that must not get the
+// KeylessHeader returns the header as it is written to targets that must not get the
 // caller's key. It is encoded once, like WireHeader.
-func (r *Request) PlainHeader(encode func(http.Header) []byte) []byte {
-	r.plainHeaderOnce.Do(func() { r.plainHeader = encode(r.header) })
-	return r.plainHeader
+func (r *Request) KeylessHeader(encode func(http.Header) []byte) []byte {
+	r.keylessHeaderOnce.Do(func() { r.keylessHeader = encode(r.header) })
+	return r.keylessHeader
 }
 
 // Body returns the complete body.
