intake: one way to charge and to release a request

What charges bytes and counts a refusal stood in four places, what releases a request in two. The comment of makeRoom said that idle connections are closed for new connections only; they are closed for requests too, as docs/design/12 says. errNoMemory and ErrNoMemory were two errors.

--- a/core/connection/intake/body.go
+++ b/core/connection/intake/body.go
@@ -59,11 +59,9 @@
 	if c.conn.removed {
 		return false
 	}
-	if !c.limiter.makeRoom(c.use, n, 0, c.conn) {
-		c.limiter.counts.refusedMemory++
+	if !c.limiter.reserve(c.use, n, c.conn) {
 		return false
 	}
-	c.limiter.add(c.use, n)
 	c.bytes += n
 	return true
 }
--- a/core/connection/intake/conn.go
+++ b/core/connection/intake/conn.go
@@ -97,7 +97,7 @@
 		return 0, c.reject(fault)
 	}
 	if passed < n && !c.keep(p[passed:n]) {
-		return 0, c.reject(errNoMemory)
+		return 0, c.reject(errOverBudget)
 	}
 	return passed, nil
 }
@@ -136,7 +136,7 @@
 		c.received.Store(int64(m))
 	}
 	if !c.headDone(cost, c.framing.phase != inHead) {
-		return 0, errNoMemory
+		return 0, errOverBudget
 	}
 	return n + m, nil
 }
--- a/core/connection/intake/input.go
+++ b/core/connection/intake/input.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// errNoMemory means that the budget has no room for what a caller sends.
-var errNoMemory = errors.New("there is no memory left for the request")
+// errOverBudget means that the budget has no room for a head or a frame.
+var errOverBudget = errors.New("there is no memory left for the request")
 
 // lingerBytes is the most that is read from a caller after its request was rejected.
 const lingerBytes = 256 << 10
@@ -63,7 +63,7 @@
 	if len(c.input) == cap(c.input) {
 		size := 2 * len(c.input)
 		if !c.limiter.charge(c, int64(size)) {
-			return 0, c.reject(errNoMemory)
+			return 0, c.reject(errOverBudget)
 		}
 		c.setInput(append(make([]byte, 0, size), c.input...))
 	}
@@ -102,7 +102,7 @@
 	return c.fault
 }
 
-// headStarted notes that the first bytes of a head have arrived and its end has not.
+// headStarted records that the first bytes of a head have arrived and its end has not.
 func (c *Conn) headStarted(now time.Time) {
 	c.limiter.mu.Lock()
 	defer c.limiter.unlock()
@@ -123,13 +123,9 @@
 	if c.removed {
 		return false
 	}
-	if !l.makeRoom(c.use, cost, 0, c) {
-		l.counts.refusedMemory++
+	if !l.reserveForRequest(c, cost) {
 		return false
 	}
-	l.add(c.use, cost)
-	c.bytes += cost
-	c.request += cost
 	c.running = true
 	c.awaitsBody = unfinished
 	switch {
@@ -143,7 +139,7 @@
 	return true
 }
 
-// bodyDone notes that the end of a body has arrived.
+// bodyDone records that the end of a body has arrived.
 func (c *Conn) bodyDone() {
 	c.limiter.mu.Lock()
 	defer c.limiter.unlock()
@@ -151,8 +147,9 @@
 	c.unlink()
 }
 
-// requestDone releases the request that has been answered. The goroutine that reads calls
-// it. A connection whose last body has no end here, which net/http has found, is closed.
+// requestDone releases the request that has been answered. It is called while no goroutine
+// reads. The connection is closed if net/http has found the end of the body and this
+// package has not: it would not see the next head.
 func (c *Conn) requestDone(now time.Time) {
 	c.running = false
 	if c.framing.phase != inHead {
@@ -165,9 +162,7 @@
 	if c.removed {
 		return
 	}
-	l.add(c.use, -c.request)
-	c.bytes -= c.request
-	c.request = 0
+	l.releaseRequest(c)
 	if c.framing.early || len(c.input) > 0 {
 		c.began = now
 		l.unfinished.push(c)
--- a/core/connection/intake/intake.go
+++ b/core/connection/intake/intake.go
@@ -114,7 +114,7 @@
 // Protect sets up a server for a listener that the limiter has wrapped. It must be called
 // before the server serves.
 func (l *Limiter) Protect(server *http.Server) {
-	server.Handler = checked{next: server.Handler}
+	server.Handler = checkedHandler{next: server.Handler}
 	server.MaxHeaderBytes = DefaultHeadBytes + requestLineBytes
 	server.ReadHeaderTimeout = headReadTimeout
 	connContext := server.ConnContext
@@ -137,13 +137,13 @@
 	return c
 }
 
-// checked is a handler whose requests have the body that the connection has found in
-// their heads.
-type checked struct{ next http.Handler }
+// checkedHandler passes on the requests whose bodies have the length that the connection has
+// read from their heads.
+type checkedHandler struct{ next http.Handler }
 
 // ServeHTTP closes the connection if net/http has read the length of the body from the
 // head in another way than the connection, which then would not see the next head.
-func (h checked) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h checkedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c := connOf(r); c != nil && !c.framing.agrees(r.ContentLength) {
 		panic(http.ErrAbortHandler)
 	}
--- a/core/connection/intake/limit_test.go
+++ b/core/connection/intake/limit_test.go
@@ -189,18 +189,27 @@
 	}
 }
 
+// acceptFrames returns a listener of frames until the test ends, and both ends of its first
+// connection.
+func acceptFrames(t *testing.T, l *intake.Limiter) (socket net.Listener, client, accepted net.Conn) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = inner.Close() })
+	socket = l.ListenFrames(inner)
+	client = dial(t, inner.Addr().String())
+	accepted, err = socket.Accept()
+	assert.NilError(t, err)
+	return socket, client, accepted
+}
+
 // Frames must be charged while they arrive and released when they were handled; a caller
 // that sends more than there is room for is closed, and so are the oldest silent ones.
 func TestFramesAreCharged(t *testing.T) {
 	l := intake.NewLimiter(4, 1<<20)
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer inner.Close()
-	socket := l.ListenFrames(inner)
-	client := dial(t, inner.Addr().String())
-	accepted, err := socket.Accept()
-	assert.NilError(t, err)
+	socket, client, accepted := acceptFrames(t, l)
 	buf := make([]byte, 16<<10)
+	var err error
 	for range 10 {
 		write(t, client, string(buf))
 		_, err = io.ReadFull(accepted, buf)
@@ -221,7 +230,7 @@
 	assert.Assert(t, err != nil, "1.6 MB of one frame were read")
 	assert.NilError(t, accepted.Close())
 	for range 10 {
-		_ = dial(t, inner.Addr().String())
+		_ = dial(t, socket.Addr().String())
 		_, err := socket.Accept()
 		assert.NilError(t, err)
 	}
@@ -231,15 +240,9 @@
 
 // A caller that has not said who it is must not send a large frame, even if there is room.
 func TestFirstFrameIsLimited(t *testing.T) {
-	l := intake.NewLimiter(4, 64<<20)
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer inner.Close()
-	socket := l.ListenFrames(inner)
-	client := dial(t, inner.Addr().String())
-	accepted, err := socket.Accept()
-	assert.NilError(t, err)
+	_, client, accepted := acceptFrames(t, intake.NewLimiter(4, 64<<20))
 	buf := make([]byte, 16<<10)
+	var err error
 	for n := 0; err == nil; n++ {
 		assert.Assert(t, n <= 64, "more than 1 MB were read")
 		write(t, client, string(buf))
--- a/core/connection/intake/limiter.go
+++ b/core/connection/intake/limiter.go
@@ -125,9 +125,10 @@
 }
 
 // makeRoom evicts connections until an address may use more bytes and connections, and
-// reports whether it may. Unfinished connections are closed first, the oldest before
-// the others; for a new connection, idle ones follow. The connection c itself is never
-// evicted: if it is the oldest one, there is no room for it. The caller holds mu.
+// reports whether it may. Unfinished connections are closed first, the oldest before the
+// others, and then idle ones. If only the limits of the address are exceeded, only its own
+// connections are closed. The connection c itself is never evicted: if it is the next one
+// to close, there is no room for it. The caller holds mu.
 func (l *Limiter) makeRoom(use *addressUse, bytes int64, conns int, c *Conn) bool {
 	for {
 		overAddress := use.bytes+bytes > l.maxAddressBytes || use.conns+conns > l.maxAddressConns
@@ -151,6 +152,36 @@
 	}
 }
 
+// reserve charges bytes to an address for connection c, and reports whether there was room
+// for them. The caller holds mu.
+func (l *Limiter) reserve(use *addressUse, n int64, c *Conn) bool {
+	if !l.makeRoom(use, n, 0, c) {
+		l.counts.refusedMemory++
+		return false
+	}
+	l.add(use, n)
+	return true
+}
+
+// reserveForRequest charges bytes to the request that connection c is reading, and reports
+// whether there was room for them. The caller holds mu.
+func (l *Limiter) reserveForRequest(c *Conn, n int64) bool {
+	if !l.reserve(c.use, n, c) {
+		return false
+	}
+	c.bytes += n
+	c.request += n
+	return true
+}
+
+// releaseRequest releases what is charged for the request of a connection. The caller holds
+// mu.
+func (l *Limiter) releaseRequest(c *Conn) {
+	l.add(c.use, -c.request)
+	c.bytes -= c.request
+	c.request = 0
+}
+
 // remove releases everything that a connection holds. The caller holds mu.
 func (l *Limiter) remove(c *Conn) {
 	if c.removed {
@@ -165,18 +196,19 @@
 	l.drop(c.use)
 }
 
-// charge charges bytes to a connection, and reports whether there was room for them.
+// charge charges bytes to a connection, or releases them if n is negative, and reports
+// whether there was room for them.
 func (l *Limiter) charge(c *Conn, n int64) bool {
 	l.mu.Lock()
 	defer l.unlock()
 	if c.removed {
 		return false
 	}
-	if n > 0 && !l.makeRoom(c.use, n, 0, c) {
-		l.counts.refusedMemory++
+	if n <= 0 {
+		l.add(c.use, n)
+	} else if !l.reserve(c.use, n, c) {
 		return false
 	}
-	l.add(c.use, n)
 	c.bytes += n
 	return true
 }
--- a/core/connection/intake/listener.go
+++ b/core/connection/intake/listener.go
@@ -117,7 +117,7 @@
 func (c *FrameConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Conn.Read(p)
 	if n > 0 && !c.charge(int64(n), time.Now()) {
-		return 0, errNoMemory
+		return 0, errOverBudget
 	}
 	return n, err
 }
@@ -134,14 +134,13 @@
 	if c.removed {
 		return false
 	}
-	overFirst := c.silent && c.request+cost > frameByteCopies*maxFirstFrameBytes
-	if overFirst || !l.makeRoom(c.use, cost, 0, &c.Conn) {
+	if c.silent && c.request+cost > frameByteCopies*maxFirstFrameBytes {
 		l.counts.refusedMemory++
 		return false
 	}
-	l.add(c.use, cost)
-	c.bytes += cost
-	c.request += cost
+	if !l.reserveForRequest(&c.Conn, cost) {
+		return false
+	}
 	c.received.Add(n)
 	if c.list == nil {
 		c.began = now
@@ -159,9 +158,7 @@
 	if c.removed {
 		return
 	}
-	l.add(c.use, -c.request)
-	c.bytes -= c.request
-	c.request = 0
+	l.releaseRequest(&c.Conn)
 	c.silent = false
 	c.received.Store(0)
 	c.unlink()
