--- a/core/process/host/rollout.go
+++ b/core/process/host/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,8 +16,8 @@
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
 
-// MaxOrderBytes limits the size of the body of an order.
-const MaxOrderBytes = 64 << 10
+// maxOrderBytes limits the size of the body of an order.
+const maxOrderBytes = 64 << 10
 
 // RolloutOrder is the order of an operator that the traffic of a service moves to a version
 // within a duration.
@@ -31,6 +32,17 @@
 	return RolloutOrder{service: service, version: version, duration: duration}
 }
 
+// ReadOrder reads the body of a call with an order. If it can't be read, or is longer than
+// maxOrderBytes, it answers 400 and returns false.
+func ReadOrder(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	text, err := io.ReadAll(io.LimitReader(r.Body, maxOrderBytes+1))
+	if err != nil || len(text) > maxOrderBytes {
+		WriteError(w, http.StatusBadRequest, result.New(result.BadRequest, "the order could not be read, or is longer than %d bytes", maxOrderBytes))
+		return nil, false
+	}
+	return text, true
+}
+
 // StartRollout submits an order. It answers 200 once a quorum has it on disk, also if it is
 // the same as the latest one of the service; 400 if the service is not known, the version
 // is empty or the duration not positive; 409 while another rollout of the service runs;
--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -43,24 +43,24 @@
 	quotas            quota.Settings
 }
 
-// Revocation states how soon a key that a configuration takes away stops to be accepted.
+// Revocation states how soon a key that a configuration takes away stops being accepted.
 type Revocation struct {
 	strict bool
 	within time.Duration
 }
 
 // NewRevocation returns the bound. If strict is true, no VM accepts a key for longer than
-// within after the acknowledgement of a configuration without it, even if it has lost
-// touch; it refuses requests with keys instead. If strict is false, a VM that has lost
-// touch goes on with the keys that it knows.
+// within after the acknowledgement of a configuration without it. A VM that can't reach a
+// control VM refuses requests with keys instead. If strict is false, such a VM goes on
+// accepting the keys that it knows.
 func NewRevocation(strict bool, within time.Duration) Revocation {
 	return Revocation{strict: strict, within: within}
 }
 
-// Strict reports whether keys are accepted only for a bounded time without touch.
+// Strict reports whether keys are accepted only for a bounded time without a confirmation.
 func (r Revocation) Strict() bool { return r.strict }
 
-// Within returns the time within which a key that was taken away stops to be accepted.
+// Within returns the time within which a key that was taken away stops being accepted.
 func (r Revocation) Within() time.Duration { return r.within }
 
 // NewSettings returns the settings of a VM in a data centre that serves metrics
@@ -121,7 +121,7 @@
 	return s
 }
 
-// WithRevocation sets how soon a key that was taken away stops to be accepted.
+// WithRevocation sets how soon a key that was taken away stops being accepted.
 func (s Settings) WithRevocation(r Revocation) Settings {
 	s.revocation = r
 	return s
@@ -205,7 +205,7 @@
 // Voters returns the number of voters to which the replicated log grows.
 func (s Settings) Voters() int { return s.voters }
 
-// Revocation returns how soon a key that was taken away stops to be accepted.
+// Revocation returns how soon a key that was taken away stops being accepted.
 func (s Settings) Revocation() Revocation { return s.revocation }
 
 // Quotas returns how far the requests of a team may exceed its quota within a window.
--- a/mulberrydale/routes/rollout.go
+++ b/mulberrydale/routes/rollout.go
@@ -2,13 +2,11 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/mulberrydale/mulberrydale/core/process/host"
 	"github.com/mulberrydale/mulberrydale/core/process/rollout"
-	"github.com/mulberrydale/mulberrydale/core/result"
 	"github.com/mulberrydale/mulberrydale/core/version/document"
 )
 
@@ -18,9 +16,8 @@
 
 // startRollout passes on the order in the body of a request.
 func (o operators) startRollout(w http.ResponseWriter, r *http.Request, service string) {
-	text, err := io.ReadAll(io.LimitReader(r.Body, host.MaxOrderBytes+1))
-	if err != nil || len(text) > host.MaxOrderBytes {
-		host.WriteError(w, http.StatusBadRequest, result.New(result.BadRequest, "the order could not be read, or is longer than %d bytes", host.MaxOrderBytes))
+	text, ok := host.ReadOrder(w, r)
+	if !ok {
 		return
 	}
 	order, err := decodeOrder(service, text)
--- a/mulberrydale/routes/rollout_test.go
+++ b/mulberrydale/routes/rollout_test.go
@@ -65,6 +65,13 @@
 	v.listed = versions
 }
 
+// fail makes the targets of a version fail all requests.
+func (v *versionedTargets) fail(version string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failing[version] = true
+}
+
 // count returns the requests that the targets of a version have got.
 func (v *versionedTargets) count(version string) int {
 	v.mu.Lock()
@@ -156,6 +163,13 @@
 	}
 }
 
+// failures returns the number of requests that failed.
+func (d *rolloutDeployment) failures() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failed
+}
+
 // order orders a rollout at any control VM.
 func (d *rolloutDeployment) order(version string, duration time.Duration, status int) {
 	d.t.Helper()
@@ -259,9 +273,7 @@
 	assert.Equal(t, d.state(), "succeeded")
 
 	d.targets.list("v2", "v3")
-	d.targets.mu.Lock()
-	d.targets.failing["v3"] = true
-	d.targets.mu.Unlock()
+	d.targets.fail("v3")
 	d.order("v3", 9*time.Second, 200)
 	assert.Equal(t, d.end(), "rolled-back")
 	d.restartAll()
@@ -273,7 +285,5 @@
 	sent = d.targets.count("v3")
 	time.Sleep(500 * time.Millisecond)
 	assert.Equal(t, d.targets.count("v3"), sent, "requests after the rollback")
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	assert.Equal(t, d.failed, 0, "requests of callers that failed")
+	assert.Equal(t, d.failures(), 0, "requests of callers that failed")
 }
