plain words in comments and names of tests

"lies", "in vain", "the installation in view", "lost touch" needed the context in which they were written. AcquireAll states that least must be at least 1.

--- a/core/connection/session/session.go
+++ b/core/connection/session/session.go
@@ -53,7 +53,7 @@
 	conn    net.Conn
 	address string
 	queue   chan []byte
-	// charger is told of each frame that was handled, nil if nothing is charged for them.
+	// charger is called after each frame that was handled, nil if nothing is charged for them.
 	charger   frameCharger
 	closeOnce sync.Once
 	done      chan struct{}
--- a/core/process/dispatch/authenticate.go
+++ b/core/process/dispatch/authenticate.go
@@ -15,8 +15,8 @@
 	// firstConfirmationWait is the time after which a VM that has just started has a
 	// confirmation, if it reaches the control VMs.
 	firstConfirmationWait = 100 * time.Millisecond
-	// maxConfirmationWait bounds the time after which a caller may retry if this VM lost
-	// touch. Nothing tells when it regains it.
+	// maxConfirmationWait bounds the time after which a caller may retry if this VM has lost
+	// its confirmation. It is not known when the VM will have one again.
 	maxConfirmationWait = 2 * time.Second
 )
 
--- a/core/process/dispatch/replay_start_test.go
+++ b/core/process/dispatch/replay_start_test.go
@@ -81,8 +81,8 @@
 	down     bool
 	startsAt time.Duration
 	mu       sync.Mutex
-	// lies is the number of answers left before the true start.
-	lies int
+	// falseAnswers is the number of answers left before the true start.
+	falseAnswers int
 }
 
 func (s *startTarget) refuses(at time.Duration) bool {
@@ -92,8 +92,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.falseAt > 0 && at >= c.falseAt && s.lies > 0 {
-		s.lies--
+	if c.falseAt > 0 && at >= c.falseAt && s.falseAnswers > 0 {
+		s.falseAnswers--
 		return false
 	}
 	return true
@@ -153,7 +153,7 @@
 			// faulty applies the factor from one to four seconds after startedAt.
 			sim := &simTarget{id: id, fault: fault{slowFactor: c.slowFactor}, affected: affected, startedAt: p.began.Add(startsAt - time.Second),
 				rng: rand.New(rand.NewPCG(seed, uint64(shard*10+replica))), noPauses: true}
-			p.targets[id] = &startTarget{simTarget: sim, play: p, down: affected && c.downFrom > 0, startsAt: startsAt, lies: 2}
+			p.targets[id] = &startTarget{simTarget: sim, play: p, down: affected && c.downFrom > 0, startsAt: startsAt, falseAnswers: 2}
 		}
 	}
 	return p
--- a/core/process/placement/acquireall.go
+++ b/core/process/placement/acquireall.go
@@ -11,8 +11,8 @@
 // AcquireAll returns leases for the first attempts of a request to several services, nil
 // for each service whose targets have no capacity left. It grants none and returns false
 // if fewer than least services have capacity or are expected to have some within maxWait:
-// the attempts at the others would be in vain. The time returned is that after which
-// enough services are expected to have capacity, 0 if it is not known.
+// the work of the others would be wasted. least must be at least 1. The time returned is
+// that after which enough services are expected to have capacity, 0 if it is not known.
 func (f *Fleet) AcquireAll(requests []LeaseRequest, least int, priority Priority, maxWait time.Duration, now time.Time) ([]*Lease, time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/process/placement/sharing_test.go
+++ b/core/process/placement/sharing_test.go
@@ -19,7 +19,7 @@
 }
 
 // Guards against 79 VMs that tell each other of each response: only changes are news, and
-// that a target is still slow, but not what another VM has just told.
+// that a target is still slow, but not what another VM has just reported.
 func TestOnlyNewsOfSlownessIsReported(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	f := linkFleet(now)
--- a/core/process/placement/slowness_test.go
+++ b/core/process/placement/slowness_test.go
@@ -18,8 +18,8 @@
 	spell  time.Duration
 }
 
-// viewNoise is the noise of the installation in view.
-var viewNoise = noise{share: 0.15, factor: 2.5, spell: 600 * time.Millisecond}
+// siteNoise is the noise of the installations that docs/design/13 describes.
+var siteNoise = noise{share: 0.15, factor: 2.5, spell: 600 * time.Millisecond}
 
 // memory returns the correlation of two states of a target that lie an age apart.
 func (n noise) memory(age time.Duration) float64 {
@@ -93,9 +93,9 @@
 		last := time.Duration(-1)
 		for _, age := range ages {
 			age *= time.Millisecond
-			weighed, nearOnly := viewNoise.choiceGain(c.work, c.cost, age, age, false), viewNoise.choiceGain(c.work, c.cost, age, -1, false)
+			weighed, nearOnly := siteNoise.choiceGain(c.work, c.cost, age, age, false), siteNoise.choiceGain(c.work, c.cost, age, -1, false)
 			if os.Getenv("REPLAY") != "" {
-				fmt.Printf("  age %6v: gain %5.2f ms, the near target's only %5.2f, taken for the present %5.2f\n", age, weighed, nearOnly, viewNoise.choiceGain(c.work, c.cost, age, age, true))
+				fmt.Printf("  age %6v: gain %5.2f ms, the near target's only %5.2f, taken for the present %5.2f\n", age, weighed, nearOnly, siteNoise.choiceGain(c.work, c.cost, age, age, true))
 			}
 			if weighed >= 0.01*c.work {
 				last = age
@@ -105,8 +105,8 @@
 		assert.Check(t, last == c.helpsUntil*time.Millisecond, "%v", last)
 	}
 	for _, age := range ages {
-		s := slowness{latest: viewNoise.factor, at: time.Unix(1, 0), mean: 1 + (viewNoise.factor-1)*viewNoise.share}
+		s := slowness{latest: siteNoise.factor, at: time.Unix(1, 0), mean: 1 + (siteNoise.factor-1)*siteNoise.share}
 		now := s.at.Add(age * time.Millisecond)
-		assert.Assert(t, math.Abs(s.expected(now)-viewNoise.mean(true, age*time.Millisecond)) < 0.01)
+		assert.Assert(t, math.Abs(s.expected(now)-siteNoise.mean(true, age*time.Millisecond)) < 0.01)
 	}
 }
--- a/core/process/placement/slowstart.go
+++ b/core/process/placement/slowstart.go
@@ -18,8 +18,8 @@
 	// fall to the initial one. A burst of responses counts as one piece of evidence.
 	minStepInterval = 300 * time.Millisecond
 	// quietInterval is the time after which the share grows if this VM has learned
-	// nothing of the target. A VM that sees it once in many seconds and hears of no
-	// other one would otherwise not use it for minutes.
+	// nothing of the target. A VM that rarely sends to it and gets no findings of other VMs
+	// would otherwise not use it for minutes.
 	quietInterval = 2 * time.Second
 )
 
--- a/core/request/relay/message.go
+++ b/core/request/relay/message.go
@@ -58,8 +58,8 @@
 // 0 if it is kept until the target closes it.
 func (a Attempt) IdleTimeout() time.Duration { return a.idleTimeout }
 
-// WithOnConnect returns a copy of the attempt with a function that is told of a new
-// connection just before the request is written to it: how long its TCP handshake took.
+// WithOnConnect returns a copy of the attempt with a function that is called just before the
+// request is written to a new connection, with the duration of its TCP handshake.
 func (a Attempt) WithOnConnect(onConnect func(took time.Duration, now time.Time)) Attempt {
 	a.onConnect = onConnect
 	return a
