intake, placement: entries of addresses, outcomes of earlier runs, waits without an estimate

Found by reading. A failure of an earlier run of a target started the slow start of the new one. A query whose shards have no known wait was told an arbitrary one after 24 h.

--- a/core/connection/intake/limiter.go
+++ b/core/connection/intake/limiter.go
@@ -92,6 +92,8 @@
 		l.drop(use)
 		return false
 	}
+	// makeRoom has removed the entry if it closed the only connection of the address.
+	l.addresses[use.address] = use
 	l.conns++
 	use.conns++
 	l.add(use, connBytes)
@@ -117,9 +119,10 @@
 	use.bytes += n
 }
 
-// drop removes the entry of an address that uses nothing. The caller holds mu.
+// drop removes the entry of an address that uses nothing, unless a newer one has taken its
+// place. The caller holds mu.
 func (l *Limiter) drop(use *addressUse) {
-	if use.conns == 0 && use.bytes == 0 {
+	if use.conns == 0 && use.bytes == 0 && l.addresses[use.address] == use {
 		delete(l.addresses, use.address)
 	}
 }
--- a/core/process/placement/acquireall.go
+++ b/core/process/placement/acquireall.go
@@ -25,8 +25,11 @@
 		}
 	}
 	slices.Sort(waits)
-	if wait := waits[min(least, len(waits))-1]; wait > maxWait {
-		return nil, wait % unknownWait, false
+	if wait := waits[max(1, min(least, len(waits)))-1]; wait > maxWait {
+		if wait >= unknownWait {
+			wait = 0
+		}
+		return nil, wait, false
 	}
 	leases := make([]*Lease, len(requests))
 	for n, r := range requests {
--- a/core/process/placement/starting.go
+++ b/core/process/placement/starting.go
@@ -175,6 +175,9 @@
 
 // observeStartRejection adds a rejection or an error response. The caller holds l.fleet.mu.
 func (l *Lease) observeStartRejection(now time.Time) {
+	if l.run != l.target.run {
+		return
+	}
 	if l.target.errorRate > errorRateThreshold && l.target.group.load < 1 {
 		l.fleet.beginSlowStart(l.target, causeErrors, now)
 	}
@@ -184,6 +187,9 @@
 // observeStartNoResponse adds a request without a response or connection. The caller holds
 // l.fleet.mu.
 func (l *Lease) observeStartNoResponse(now time.Time) {
+	if l.run != l.target.run {
+		return
+	}
 	l.fleet.beginSlowStart(l.target, causeFailed, now)
 	l.fleet.observeStart(l.target, startFailed, now, now)
 }
