peer: split Encode, one check of round trips, needsRelay

Cause: Encode had 72 lines. The kind of TargetSlowness stood apart from the list of kinds. Two tests had the same loop. "Unheard" did not say what a receiver does. The encoding is the same. Result: go test ./core/connection/peer passes.

--- a/core/connection/peer/codec.go
+++ b/core/connection/peer/codec.go
@@ -1,9 +1,6 @@
 package peer
 
-import (
-	"github.com/mulberrydale/mulberrydale/core/connection/frame"
-	"github.com/mulberrydale/mulberrydale/core/process/replica"
-)
+import "github.com/mulberrydale/mulberrydale/core/connection/frame"
 
 // Message kinds on the wire; each value is the first field of its message.
 const (
@@ -26,6 +23,8 @@
 	wireRolloutGrants
 	wireTokenRequest
 	wireTokenGrant
+	// wireTargetSlowness follows a gap of unused values.
+	wireTargetSlowness = 40
 )
 
 // Encode encodes a message as the payload of a frame.
@@ -59,45 +58,8 @@
 	case TargetUpdates:
 		enc.Uint(wireTargetUpdates)
 		encodeTargetUpdates(enc, m)
-	case Presence:
-		enc.Uint(wirePresence)
-		encodePresence(enc, m)
-	case PublishedRoutes:
-		enc.Uint(wirePublishedRoutes)
-		replica.EncodeRoutes(enc, m.routes)
-	case ReadRoutes:
-		enc.Uint(wireReadRoutes)
-		enc.Uint(m.number)
-	case TargetList:
-		enc.Uint(wireTargetList)
-		encodeTargetList(enc, m)
-	case LateResponses:
-		enc.Uint(wireLateResponses)
-		encodeLateResponses(enc, m)
-	case Unchanged:
-		enc.Uint(wireUnchanged)
-		encodeUnchanged(enc, m)
-	case ConfirmRevision:
-		enc.Uint(wireConfirmRevision)
-		enc.Uint(m.number)
-	case RevisionConfirmed:
-		enc.Uint(wireRevisionConfirmed)
-		encodeRevisionConfirmed(enc, m)
-	case RolloutReports:
-		enc.Uint(wireRolloutReports)
-		encodeRolloutReports(enc, m)
-	case RolloutGrants:
-		enc.Uint(wireRolloutGrants)
-		encodeRolloutGrants(enc, m)
-	case TokenRequest:
-		enc.Uint(wireTokenRequest)
-		encodeTokenRequest(enc, m)
-	case TokenGrant:
-		enc.Uint(wireTokenGrant)
-		encodeTokenGrant(enc, m)
-	case TargetSlowness:
-		enc.Uint(wireTargetSlowness)
-		encodeTargetSlowness(enc, m)
+	default:
+		encodeSessionMessage(enc, m)
 	}
 	return enc.Payload()
 }
@@ -107,7 +69,7 @@
 func Decode(payload []byte) (Message, error) {
 	dec := frame.NewDecoder(payload)
 	var out Message
-	switch dec.Uint() {
+	switch kind := dec.Uint(); kind {
 	case wireHello:
 		out = Hello{cluster: dec.String(), vm: dec.String(), dataCentre: dec.String(), startID: dec.String()}
 	case wireHeartbeat:
@@ -122,34 +84,8 @@
 		out = Reply{number: dec.Uint(), payload: dec.Bytes()}
 	case wireTargetUpdates:
 		out = decodeTargetUpdates(dec)
-	case wirePresence:
-		out = decodePresence(dec)
-	case wirePublishedRoutes:
-		out = PublishedRoutes{routes: replica.DecodeRoutes(dec)}
-	case wireReadRoutes:
-		out = ReadRoutes{number: dec.Uint()}
-	case wireTargetList:
-		out = decodeTargetList(dec)
-	case wireLateResponses:
-		out = decodeLateResponses(dec)
-	case wireUnchanged:
-		out = decodeUnchanged(dec)
-	case wireConfirmRevision:
-		out = ConfirmRevision{number: dec.Uint()}
-	case wireRevisionConfirmed:
-		out = decodeRevisionConfirmed(dec)
-	case wireRolloutReports:
-		out = decodeRolloutReports(dec)
-	case wireRolloutGrants:
-		out = decodeRolloutGrants(dec)
-	case wireTokenRequest:
-		out = decodeTokenRequest(dec)
-	case wireTokenGrant:
-		out = decodeTokenGrant(dec)
-	case wireTargetSlowness:
-		out = decodeTargetSlowness(dec)
 	default:
-		dec.Fail("unknown message kind")
+		out = decodeSessionMessage(kind, dec)
 	}
 	return out, dec.Err()
 }
--- a/core/connection/peer/message.go
+++ b/core/connection/peer/message.go
@@ -1,7 +1,8 @@
 // Package peer defines the messages between the processes of this system and
 // exchanges them over a mesh of one-way connections that carry frames. A
 // connection without messages is closed and dialled again. The messages can
-// also be sent over the connections of package session, which have no Hello.
+// also be sent over the connections of package session, which have no Hello; those
+// from Presence on in the list at Message are sent there only.
 package peer
 
 import "time"
--- a/core/connection/peer/peer_test.go
+++ b/core/connection/peer/peer_test.go
@@ -44,16 +44,24 @@
 	peer.NewTargetSlowness([]discovery.Slowness{discovery.NewSlowness("i-1", 2.5, 30*time.Millisecond)}),
 }
 
+// checkRoundTrip checks that a message is decoded as it was encoded, and that no truncated
+// encoding of it is accepted.
+func checkRoundTrip(t *testing.T, m peer.Message) {
+	t.Helper()
+	payload := peer.Encode(m)
+	decoded, err := peer.Decode(payload)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(peer.Encode(decoded), payload), "%T", m)
+	for n := range payload {
+		_, err := peer.Decode(payload[:n])
+		assert.Assert(t, err != nil, "%T truncated to %d bytes was decoded", m, n)
+	}
+}
+
+// Guards against messages that other processes decode differently.
 func TestMessageRoundTrip(t *testing.T) {
 	for _, m := range messages {
-		payload := peer.Encode(m)
-		decoded, err := peer.Decode(payload)
-		assert.NilError(t, err)
-		assert.Assert(t, bytes.Equal(peer.Encode(decoded), payload), "%T", m)
-		for n := range payload {
-			_, err := peer.Decode(payload[:n])
-			assert.Assert(t, err != nil, "%T truncated to %d bytes was decoded", m, n)
-		}
+		checkRoundTrip(t, m)
 	}
 }
 
--- a/core/connection/peer/presencecodec.go
+++ b/core/connection/peer/presencecodec.go
@@ -103,3 +103,33 @@
 	t.difference = discovery.NewDifference(changed, removed)
 	return t
 }
+
+// encodeVersions appends the versions of instances to an encoded list. If none has a
+// version, the encoding is that of earlier versions of the program.
+func encodeVersions(enc *frame.Encoder, instances []discovery.Instance) {
+	var versions []string
+	known := false
+	for _, i := range instances {
+		versions = append(versions, i.Version())
+		known = known || i.Version() != ""
+	}
+	if known {
+		enc.Strings(versions)
+	}
+}
+
+// decodeVersions adds the versions that encodeVersions has appended, which must be the
+// last value.
+func decodeVersions(dec *frame.Decoder, instances []discovery.Instance) {
+	if !dec.More() {
+		return
+	}
+	versions := dec.Strings()
+	if len(versions) != len(instances) {
+		dec.Fail("another number of versions than of instances")
+		return
+	}
+	for n, v := range versions {
+		instances[n] = instances[n].WithVersion(v)
+	}
+}
--- a/core/connection/peer/rollout.go
+++ b/core/connection/peer/rollout.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/mulberrydale/mulberrydale/core/connection/frame"
-	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/rollout"
 )
 
@@ -14,10 +13,11 @@
 	// confirmation names the latest grants that the VM had.
 	confirmation rollout.Confirmation
 	reports      []rollout.Report
-	// unheard is set if the VM hears no leader, so that control VMs pass the message on.
+	// needsRelay is set if the VM gets no grants from the leader itself, so that other
+	// control VMs pass the message on.
+	needsRelay bool
 	// vm is the name of the VM if another one passes the message on, otherwise empty.
-	unheard bool
-	vm      string
+	vm string
 }
 
 // NewRolloutReports returns a message with the reports of the run of an entry VM that the
@@ -26,9 +26,10 @@
 	return RolloutReports{startID: startID, number: number, confirmation: confirmation, reports: reports}
 }
 
-// WithUnheard returns the message of a VM that hears no leader, or does.
-func (r RolloutReports) WithUnheard(unheard bool) RolloutReports {
-	r.unheard = unheard
+// WithNeedsRelay returns the message with a statement whether control VMs that do not lead
+// pass it on to the leader.
+func (r RolloutReports) WithNeedsRelay(needsRelay bool) RolloutReports {
+	r.needsRelay = needsRelay
 	return r
 }
 
@@ -38,8 +39,8 @@
 	return r
 }
 
-// Unheard reports whether the VM hears no leader.
-func (r RolloutReports) Unheard() bool { return r.unheard }
+// NeedsRelay reports whether control VMs that do not lead pass the message on to the leader.
+func (r RolloutReports) NeedsRelay() bool { return r.needsRelay }
 
 // VM returns the name of the VM if another one has passed the message on, otherwise the
 // empty string.
@@ -110,7 +111,7 @@
 	enc.Uint(r.number)
 	enc.Uint(r.confirmation.Term)
 	enc.Uint(r.confirmation.Number)
-	enc.Bool(r.unheard)
+	enc.Bool(r.needsRelay)
 	enc.String(r.vm)
 	enc.Uint(uint64(len(r.reports)))
 	for _, report := range r.reports {
@@ -119,7 +120,13 @@
 }
 
 func decodeRolloutReports(dec *frame.Decoder) RolloutReports {
-	r := RolloutReports{startID: dec.String(), number: dec.Uint(), confirmation: rollout.Confirmation{Term: dec.Uint(), Number: dec.Uint()}, unheard: dec.Bool(), vm: dec.String()}
+	r := RolloutReports{
+		startID:      dec.String(),
+		number:       dec.Uint(),
+		confirmation: rollout.Confirmation{Term: dec.Uint(), Number: dec.Uint()},
+		needsRelay:   dec.Bool(),
+		vm:           dec.String(),
+	}
 	for range dec.Len() {
 		r.reports = append(r.reports, rollout.DecodeReport(dec))
 	}
@@ -145,33 +152,3 @@
 	}
 	return g
 }
-
-// encodeVersions appends the versions of instances to an encoded list. If none has a
-// version, the encoding is that of earlier versions of the program.
-func encodeVersions(enc *frame.Encoder, instances []discovery.Instance) {
-	var versions []string
-	known := false
-	for _, i := range instances {
-		versions = append(versions, i.Version())
-		known = known || i.Version() != ""
-	}
-	if known {
-		enc.Strings(versions)
-	}
-}
-
-// decodeVersions adds the versions that encodeVersions has appended, which must be the
-// last value.
-func decodeVersions(dec *frame.Decoder, instances []discovery.Instance) {
-	if !dec.More() {
-		return
-	}
-	versions := dec.Strings()
-	if len(versions) != len(instances) {
-		dec.Fail("another number of versions than of instances")
-		return
-	}
-	for n, v := range versions {
-		instances[n] = instances[n].WithVersion(v)
-	}
-}
--- a/core/connection/peer/rollout_test.go
+++ b/core/connection/peer/rollout_test.go
@@ -22,17 +22,10 @@
 // Guards against messages about rollouts that other processes decode differently.
 func TestRolloutMessagesRoundTrip(t *testing.T) {
 	for _, m := range []peer.Message{
-		peer.NewRolloutReports("start", 4, rollout.Confirmation{Term: 2, Number: 3}, []rollout.Report{newReport()}).WithUnheard(true).PassedOn("entry-1"),
+		peer.NewRolloutReports("start", 4, rollout.Confirmation{Term: 2, Number: 3}, []rollout.Report{newReport()}).WithNeedsRelay(true).PassedOn("entry-1"),
 		peer.NewRolloutGrants("start", 2, 3, 4, []rollout.Grant{rollout.NewGrant("s", 5, rollout.Closed, 6)}).Through("entry-1"),
 	} {
-		payload := peer.Encode(m)
-		decoded, err := peer.Decode(payload)
-		assert.NilError(t, err)
-		assert.Assert(t, bytes.Equal(peer.Encode(decoded), payload), "%T", m)
-		for n := range payload {
-			_, err := peer.Decode(payload[:n])
-			assert.Assert(t, err != nil, "%T truncated to %d bytes was decoded", m, n)
-		}
+		checkRoundTrip(t, m)
 	}
 }
 
--- a/core/connection/peer/slowness.go
+++ b/core/connection/peer/slowness.go
@@ -8,10 +8,6 @@
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 )
 
-// wireTargetSlowness is the kind of TargetSlowness on the wire. It leaves room for messages
-// that are added to the list in codec.go.
-const wireTargetSlowness = 40
-
 // slownessUnit is the resolution of a slowness on the wire.
 const slownessUnit = 0.01
 
--- a/core/process/cluster/rollout.go
+++ b/core/process/cluster/rollout.go
@@ -203,7 +203,7 @@
 }
 
 // receiveRolloutReports passes the reports of an entry VM to the controller, and those of a
-// VM that hears no leader on to the leader: only the link between the two may be lost.
+// VM that gets no grants on to the leader: only the link between the two may be lost.
 func (c *Cluster) receiveRolloutReports(s *session.Session, m peer.RolloutReports, bootNow bootclock.Time) {
 	c.mu.Lock()
 	r := c.sessions[s]
@@ -217,7 +217,7 @@
 		return
 	}
 	c.takeRolloutReports(vm, s, m, bootNow)
-	if leader := c.control.Status().Leader(); m.Unheard() && m.VM() == "" && leader != "" && leader != c.self.address {
+	if leader := c.control.Status().Leader(); m.NeedsRelay() && m.VM() == "" && leader != "" && leader != c.self.address {
 		c.send(leader, m.PassedOn(vm))
 	}
 }
--- a/core/process/cluster/rollout_test.go
+++ b/core/process/cluster/rollout_test.go
@@ -165,7 +165,7 @@
 			if gate != nil && !granted {
 				number++
 				reports := []rollout.Report{gate.Report(rollout.InFlight{}, true, 0)}
-				assert.NilError(t, frame.Write(conn, peer.Encode(peer.NewRolloutReports(startID, number, rollout.Confirmation{}, reports).WithUnheard(true))))
+				assert.NilError(t, frame.Write(conn, peer.Encode(peer.NewRolloutReports(startID, number, rollout.Confirmation{}, reports).WithNeedsRelay(true))))
 			}
 		}
 	}
--- a/core/process/cluster/rolloutreport.go
+++ b/core/process/cluster/rolloutreport.go
@@ -75,10 +75,10 @@
 			delete(state.sentAt, number)
 		}
 	}
-	unheard := bootNow.Sub(state.grantedAt) > leaderSilence
-	m := peer.NewRolloutReports(c.self.startID, state.number, state.latest, reports).WithUnheard(unheard)
+	needsRelay := bootNow.Sub(state.grantedAt) > leaderSilence
+	m := peer.NewRolloutReports(c.self.startID, state.number, state.latest, reports).WithNeedsRelay(needsRelay)
 	only := state.session
-	if state.number%reportAllEvery == 0 || unheard {
+	if state.number%reportAllEvery == 0 || needsRelay {
 		only = nil
 	}
 	r.mu.Unlock()
