quota, confirmation: one event queue of the simulations, names that explain themselves

Cause: two simulations had the same heap of events. "Calm", "lost touch", Hasten and patientAfter were figurative. Fields of the simulations had no comments.

--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -123,7 +123,7 @@
 	receivedList := c.refreshReceivedList(r, now)
 	c.mu.Unlock()
 	if firstPresence && p.Address() != "" {
-		c.confirming.holder.Hasten()
+		c.confirming.holder.RetrySoon()
 		c.log.Info("session to a control VM established", zap.String("control-vm", p.VM()), zap.String("address", p.Address()), zap.Uint64("revision", p.Revision()))
 	}
 	c.addControlVMs(append(p.ControlVMs(), p.Address()), now)
--- a/core/process/confirmation/confirmation.go
+++ b/core/process/confirmation/confirmation.go
@@ -1,6 +1,6 @@
 // Package confirmation decides for how long a VM may rely on the routes that it has put in
-// force. Keys of teams are taken away by a new revision of the routes, so a VM that has
-// lost touch must stop to accept keys within a bounded time, even if it was frozen or
+// force. Keys of teams are taken away by a new revision of the routes, so a VM that does
+// not receive it must stop to accept keys within a bounded time, even if it was frozen or
 // suspended meanwhile. A proof from the control VMs, which expires, shows that no newer
 // revision was acknowledged before a point in time. The package does no I/O.
 package confirmation
@@ -58,10 +58,11 @@
 	mu       sync.Mutex
 	lifetime time.Duration
 	// inForce is the revision of the routes that this VM has put in force, newest the
-	// highest revision that it has heard of.
+	// highest revision that it knows to exist.
 	inForce uint64
 	newest  uint64
-	needed  bool
+	// needed is true if the routes in force need a proof.
+	needed bool
 	// latest is the proof with the latest time, held the one with the latest time among
 	// those that inForce satisfies.
 	latest   Proof
@@ -199,7 +200,7 @@
 // InForce returns the revision of the routes in force.
 func (s Status) InForce() uint64 { return s.inForce }
 
-// Newest returns the highest revision that this VM has heard of.
+// Newest returns the highest revision that this VM knows to exist.
 func (s Status) Newest() uint64 { return s.newest }
 
 // Age returns the age of the proof that is held, and false if there is none.
--- a/core/process/confirmation/calm_test.go
+++ b/core/process/confirmation/election_test.go
@@ -7,8 +7,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// faultyRun is a run of a simulation in which the leader is deposed every 8 s, and control VMs
-// may be lost the first time.
+// faultyRun is a run of a simulation in which the leader is deposed every 8 s, unless election
+// is 0, the time after which the next one is elected. The first time, a number of control VMs
+// is lost.
 type faultyRun struct {
 	sim      *sim
 	lost     int
@@ -25,7 +26,7 @@
 	if s.now < time.Second {
 		return
 	}
-	v := s.entries[s.seq%len(s.entries)]
+	v := s.entries[s.events.Added()%len(s.entries)]
 	if !v.holder.Confirmed(s.boot(v)) {
 		r.unconfirmed++
 	}
@@ -66,8 +67,8 @@
 	r.sim.run(40*time.Second, r.check)
 }
 
-// In calm, through elections and with two of six control VMs lost at once, every VM in touch
-// must hold a confirmation all the time.
+// Without faults, through elections and with two of six control VMs lost at once, every VM that
+// reaches control VMs must hold a confirmation all the time.
 func TestVMsInTouchStayConfirmed(t *testing.T) {
 	const election = 1200 * time.Millisecond
 	tests := []struct {
@@ -77,10 +78,10 @@
 		election          time.Duration
 		oldest            time.Duration
 	}{
-		{"calm, 79 VMs", 6, 79, 0, 0, 2 * time.Second},
-		{"calm, 300 VMs", 6, 300, 0, 0, 2 * time.Second},
-		{"calm, 1,280 VMs for four control VMs", 4, 1280, 0, 0, 2 * time.Second},
-		{"calm, 3,200 VMs for three control VMs", 3, 3200, 0, 0, 2600 * time.Millisecond},
+		{"no faults, 79 VMs", 6, 79, 0, 0, 2 * time.Second},
+		{"no faults, 300 VMs", 6, 300, 0, 0, 2 * time.Second},
+		{"no faults, 1,280 VMs for four control VMs", 4, 1280, 0, 0, 2 * time.Second},
+		{"no faults, 3,200 VMs for three control VMs", 3, 3200, 0, 0, 2600 * time.Millisecond},
 		{"an election, 1,067 VMs for each control VM", 3, 3200, 0, election, 3800 * time.Millisecond},
 		{"an election", 6, 79, 0, election, 3 * time.Second},
 		{"two control VMs lost, one of them the leader", 6, 79, 2, election, 3 * time.Second},
--- a/core/process/confirmation/schedule.go
+++ b/core/process/confirmation/schedule.go
@@ -22,10 +22,10 @@
 	answerTimeout = 350 * time.Millisecond
 	// maxWidth is the highest number of control VMs that are asked at once.
 	maxWidth = 4
-	// patientAfter is the number of questions in a row without a useful answer after
+	// backoffAfter is the number of questions in a row without a useful answer after
 	// which the interval is the regular one again. Many VMs without a quorum must not
 	// load the control VMs that are about to elect a leader.
-	patientAfter = 6
+	backoffAfter = 6
 	// rememberedRounds is the number of questions whose time is kept. A reply to an older
 	// one could only prove what has expired.
 	rememberedRounds = 16
@@ -36,6 +36,8 @@
 
 // schedule decides when this VM asks, and remembers when it did.
 type schedule struct {
+	// number is that of the latest question, asked holds the latest questions, and count
+	// is the number of all of them.
 	number uint64
 	asked  [rememberedRounds]round
 	count  int
@@ -90,7 +92,7 @@
 	}
 	passed := now.Sub(s.lastAt) + timerSlack
 	interval := h.interval(vmsPerControlVM)
-	if s.missed > 0 && s.missed <= patientAfter {
+	if s.missed > 0 && s.missed <= backoffAfter {
 		interval = min(interval, answerTimeout)
 	}
 	return passed >= interval
@@ -120,9 +122,9 @@
 	return 1
 }
 
-// Hasten lets a question that got no useful answer be put again soon, because a control VM
+// RetrySoon lets a question that got no useful answer be put again soon, because a control VM
 // has become reachable.
-func (h *Holder) Hasten() {
+func (h *Holder) RetrySoon() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.schedule.missed = min(h.schedule.missed, 1)
--- a/core/process/confirmation/sim_test.go
+++ b/core/process/confirmation/sim_test.go
@@ -1,7 +1,6 @@
 package confirmation_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -11,6 +10,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/confirmation"
+	"github.com/mulberrydale/mulberrydale/core/process/eventqueue"
 )
 
 // The simulation has control VMs of which one may lead, and entry VMs, each with a boot clock
@@ -25,28 +25,12 @@
 // simEvent happens at a VM. It is postponed while the VM is suspended and dropped if the VM
 // is down.
 type simEvent struct {
-	at  time.Duration
-	seq int
-	vm  *simVM
-	do  func()
+	vm *simVM
+	do func()
 }
 
-type eventQueue []simEvent
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
-// simVM is a VM. A control VM has a relay.
+// simVM is a VM. A control VM has a relay. clockOffset is its boot clock less the time of
+// the simulation.
 type simVM struct {
 	number         int
 	clockOffset    time.Duration
@@ -65,8 +49,7 @@
 type sim struct {
 	random   *rand.Rand
 	now      time.Duration
-	seq      int
-	events   eventQueue
+	events   eventqueue.Queue[simEvent]
 	controls []*simVM
 	entries  []*simVM
 	// leader is the control VM that a quorum follows, nil during an election.
@@ -75,7 +58,8 @@
 	acked []time.Duration
 	// delay returns how long a message travels, negative for a lost one.
 	delay func() time.Duration
-	asks  int
+	// asks counts the questions of entry VMs.
+	asks int
 }
 
 func newSim(controls, entries int, seed uint64) *sim {
@@ -102,11 +86,12 @@
 	return s
 }
 
+// boot returns the time of the boot clock of a VM.
 func (s *sim) boot(v *simVM) bootclock.Time { return bootclock.Time(s.now + v.clockOffset) }
 
+// after calls do at a VM, or at no particular one if v is nil, when a time has passed.
 func (s *sim) after(v *simVM, d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.events, simEvent{at: s.now + d, seq: s.seq, vm: v, do: do})
+	s.events.Add(s.now+d, simEvent{vm: v, do: do})
 }
 
 // every calls do at a random offset and then at each interval.
@@ -119,6 +104,7 @@
 	s.after(v, time.Duration(s.random.Int64N(int64(interval))), tick)
 }
 
+// send calls do at the receiver of a message when it arrives, if it does.
 func (s *sim) send(to *simVM, do func()) {
 	if d := s.delay(); d >= 0 {
 		s.after(to, d, do)
@@ -127,9 +113,12 @@
 
 // run runs until a time and calls check after each event.
 func (s *sim) run(until time.Duration, check func()) {
-	for len(s.events) > 0 && s.events[0].at <= until {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = max(s.now, e.at)
+	for {
+		e, at, ok := s.events.Take(until)
+		if !ok {
+			return
+		}
+		s.now = max(s.now, at)
 		if e.vm != nil && e.vm.suspendedUntil > s.now {
 			s.after(e.vm, e.vm.suspendedUntil-s.now, e.do)
 			continue
@@ -177,6 +166,7 @@
 	v.holder.PutInForce(revision, true)
 }
 
+// proof returns the proof with which a control VM would answer, and whether it is fresh.
 func (s *sim) proof(v *simVM) (confirmation.Proof, bool) {
 	if v.leads {
 		if p := confirmation.NewProof(v.revision, bootclock.Time(v.contact+v.clockOffset)); v.holder.Fresh(p, s.boot(v)) {
@@ -199,6 +189,7 @@
 	}
 }
 
+// question handles a question that has arrived at a control VM.
 func (s *sim) question(at, from *simVM, number uint64) {
 	if p, fresh := s.proof(at); fresh {
 		s.reply(at, from, number, p)
@@ -217,6 +208,7 @@
 	})
 }
 
+// release answers the questions that wait at a control VM if it has a fresh proof.
 func (s *sim) release(v *simVM) {
 	if p, fresh := s.proof(v); fresh {
 		v.relay.Release(func(to *simVM, number uint64) { s.reply(v, to, number, p) })
--- a/core/process/quota/replay_test.go
+++ b/core/process/quota/replay_test.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	replayTeams    = 82
+	replayTeams = 82
+	// requestsPerS is the number of requests of all teams per second.
 	requestsPerS   = 120
 	replayWarmUp   = 5 * time.Second
 	replayDuration = 40 * time.Second
@@ -103,15 +104,7 @@
 // Fixed shares for each VM refuse requests that are within the quota, and shares that are
 // counted afterwards admit too many. The replays check both sides.
 func TestReplays(t *testing.T) {
-	tests := []struct {
-		name string
-		vms  int
-		load load
-		// disturb changes the simulation before it runs.
-		disturb func(s *simulation)
-		// maxRefused is the greatest share of owed requests that may be refused.
-		maxRefused float64
-	}{
+	tests := []replayCase{
 		{"9 VMs, even", 9, load{}, nil, 0.001},
 		{"79 VMs, even", 79, load{}, nil, 0.001},
 		{"300 VMs, even", 300, load{}, nil, 0.001},
@@ -127,36 +120,48 @@
 		{"79 VMs, a tenth restarted and a tenth frozen", 79, load{skew: 1.2}, restartAndFreeze, 0.01},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			teams, means := teamsOf(tt.load)
-			s := newSimulation(1, replaySettings, teams, tt.vms)
-			for _, vm := range s.vms {
-				vm.holder.SetVMs(tt.vms)
-			}
-			s.countOwedIn = func(now bootclock.Time) bool { return now > bootclock.Time(replayWarmUp) }
-			s.lead(0, quota.NoPredecessor(), 0)
-			s.generate(tt.load, means)
-			if tt.disturb != nil {
-				tt.disturb(s)
-			}
-			s.runUntil(bootclock.Time(replayDuration + time.Second))
-			hotName := ""
-			if tt.load.hot > 0 {
-				hotName = teams[tt.load.hotTeam].Name()
-			}
-			owed, refused, worst := s.summary(hotName)
-			t.Logf("refused %d of %d owed (%.5f), worst window %.2f of the bound, %.0f asks a second, %.1f and %.1f KB/s to and from the owner",
-				refused, owed, float64(refused)/float64(owed), worst, float64(s.asks)/replayDuration.Seconds(),
-				float64(s.askBytes)/1000/replayDuration.Seconds(), float64(s.grantBytes)/1000/replayDuration.Seconds())
-			if hotName != "" {
-				c := s.counts[hotName]
-				t.Logf("hot team: arrived %d, owed %d, admitted %d", c.arrived, c.owed, c.admitted)
-				assert.Assert(t, float64(c.admitted) >= 0.97*float64(c.owed))
-			}
-			assert.Assert(t, worst <= 1, "worst window %.3f of the bound", worst)
-			assert.Assert(t, float64(refused) <= tt.maxRefused*float64(owed), "refused %d of %d", refused, owed)
-		})
+		t.Run(tt.name, tt.run)
+	}
+}
+
+// replayCase is a replay with the greatest share of owed requests that may be refused.
+type replayCase struct {
+	name string
+	vms  int
+	load load
+	// disturb changes the simulation before it runs.
+	disturb    func(s *simulation)
+	maxRefused float64
+}
+
+func (tt replayCase) run(t *testing.T) {
+	teams, means := teamsOf(tt.load)
+	s := newSimulation(1, replaySettings, teams, tt.vms)
+	for _, vm := range s.vms {
+		vm.holder.SetVMs(tt.vms)
+	}
+	s.countOwedIn = func(now bootclock.Time) bool { return now > bootclock.Time(replayWarmUp) }
+	s.lead(0, quota.NoPredecessor(), 0)
+	s.generate(tt.load, means)
+	if tt.disturb != nil {
+		tt.disturb(s)
+	}
+	s.runUntil(bootclock.Time(replayDuration + time.Second))
+	hotName := ""
+	if tt.load.hot > 0 {
+		hotName = teams[tt.load.hotTeam].Name()
+	}
+	owed, refused, worst := s.summary(hotName)
+	t.Logf("refused %d of %d owed (%.5f), worst window %.2f of the bound, %.0f asks a second, %.1f and %.1f KB/s to and from the owner",
+		refused, owed, float64(refused)/float64(owed), worst, float64(s.asks)/replayDuration.Seconds(),
+		float64(s.askBytes)/1000/replayDuration.Seconds(), float64(s.grantBytes)/1000/replayDuration.Seconds())
+	if hotName != "" {
+		c := s.counts[hotName]
+		t.Logf("hot team: arrived %d, owed %d, admitted %d", c.arrived, c.owed, c.admitted)
+		assert.Assert(t, float64(c.admitted) >= 0.97*float64(c.owed))
 	}
+	assert.Assert(t, worst <= 1, "worst window %.3f of the bound", worst)
+	assert.Assert(t, float64(refused) <= tt.maxRefused*float64(owed), "refused %d of %d", refused, owed)
 }
 
 // loseLeader ends the leader at 15 s; the next one is elected 0.9 s later and seen 50 ms
--- a/core/process/quota/simulation_test.go
+++ b/core/process/quota/simulation_test.go
@@ -1,7 +1,6 @@
 package quota_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+	"github.com/mulberrydale/mulberrydale/core/process/eventqueue"
 	"github.com/mulberrydale/mulberrydale/core/process/quota"
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
@@ -20,28 +20,6 @@
 // frameHeaderBytes is the length of the header of a frame.
 const frameHeaderBytes = 4
 
-// event is an action at a simulated time.
-type event struct {
-	at  bootclock.Time
-	seq int
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // simVM is a simulated entry VM.
 type simVM struct {
 	name        string
@@ -53,8 +31,8 @@
 	waiting     map[quota.Waiter]*simRequest
 }
 
-// simLeader is a simulated leader. It believes that it leads from elected on, and its last
-// contact with a quorum is before deposed.
+// simLeader is a simulated leader. It acts as the leader from its election on, also after it
+// was deposed, but its last contact with a quorum is before that.
 type simLeader struct {
 	term    uint64
 	elected bootclock.Time
@@ -64,8 +42,6 @@
 	diesAt      bootclock.Time
 	frozenUntil bootclock.Time
 	owner       *quota.Owner
-	predecessor quota.Predecessor
-	observed    time.Duration
 }
 
 type simRequest struct {
@@ -77,27 +53,31 @@
 type teamCounts struct {
 	arrived, owed, admitted, refusedOwed, unavailable int
 	admittedAt                                        []bootclock.Time
-	level                                             float64
-	levelAt                                           bootclock.Time
+	// level is that of a bucket with the rate and the burst of the team: a request is owed
+	// if it finds a token there. levelAt is when it was last updated.
+	level   float64
+	levelAt bootclock.Time
 }
 
 // simulation runs holders and owners in simulated time.
 type simulation struct {
 	rng      *rand.Rand
 	now      bootclock.Time
-	seq      int
-	queue    eventQueue
+	events   eventqueue.Queue[func()]
 	settings quota.Settings
 	teams    []routing.Team
 	vms      []*simVM
 	leaders  []*simLeader
 	counts   map[string]*teamCounts
 	asks     int
-	loss     float64
+	// loss is the probability that a message is lost.
+	loss float64
 	// slow is added to the delay of a message with the probability slowShare.
-	slow        time.Duration
-	slowShare   float64
-	giveBack    float64
+	slow      time.Duration
+	slowShare float64
+	// giveBack is the probability that a request gives its token back.
+	giveBack float64
+	// countOwedIn reports whether requests count as owed at a time, nil for always.
 	countOwedIn func(now bootclock.Time) bool
 	// askBytes and grantBytes are the bytes of the messages that the owner received and
 	// sent.
@@ -131,9 +111,9 @@
 	vm.waiting = make(map[quota.Waiter]*simRequest)
 }
 
+// at schedules an action, at once if the time has passed.
 func (s *simulation) at(t bootclock.Time, run func()) {
-	s.seq++
-	heap.Push(&s.queue, event{at: max(t, s.now), seq: s.seq, run: run})
+	s.events.Add(time.Duration(max(t, s.now)), run)
 }
 
 // whenAwake runs an action on a VM once it is not frozen, if it has not been restarted.
@@ -152,10 +132,13 @@
 
 // runUntil runs all events up to a time.
 func (s *simulation) runUntil(end bootclock.Time) {
-	for len(s.queue) > 0 && !end.Before(s.queue[0].at) {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.run()
+	for {
+		run, at, ok := s.events.Take(time.Duration(end))
+		if !ok {
+			break
+		}
+		s.now = bootclock.Time(at)
+		run()
 		if s.watch && !s.now.Before(s.watchFrom) {
 			s.recordTokens()
 		}
@@ -189,9 +172,10 @@
 	s.at(s.now.Add(50*time.Millisecond), func() { s.tick(vm) })
 }
 
-// lead adds a leader. The one before it is deposed at its election.
+// lead adds a leader, which observes its election after a time. The leader before it is
+// deposed at the election.
 func (s *simulation) lead(elected bootclock.Time, predecessor quota.Predecessor, observed time.Duration) *simLeader {
-	l := &simLeader{term: uint64(len(s.leaders) + 1), elected: elected, predecessor: predecessor, observed: observed}
+	l := &simLeader{term: uint64(len(s.leaders) + 1), elected: elected}
 	if n := len(s.leaders); n > 0 {
 		s.leaders[n-1].deposed = elected
 	}
