quota: names of the holder's fields, one check of windows

Cause: waiting was a type, a field and a parameter; hold and lastID were not explained. The comment on SetTeams left out the succession, which the code adds to the window. Change: waitingRequest, lastWaiter, comments; checkWindows in place of two copies. Result: go test ./core/process/quota passes.

--- a/core/process/quota/bound_test.go
+++ b/core/process/quota/bound_test.go
@@ -110,6 +110,16 @@
 	}
 }
 
+// checkWindows checks that no window that begins at or after a time has more requests of a
+// team than its bound.
+func checkWindows(t *rapid.T, s *simulation, teams []routing.Team, from bootclock.Time) {
+	for _, team := range teams {
+		worst := s.worstWindow(team.Name(), from)
+		assert.Assert(t, float64(worst) <= s.settings.Bound(team), "%d requests in a window, bound %.2f", worst, s.settings.Bound(team))
+	}
+}
+
+// newFaultySimulation returns a simulation with random limits, load and faults.
 func newFaultySimulation(t *rapid.T) *simulation {
 	settings := quota.NewSettings(5*time.Second, rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "overage"), rapid.SampledFrom([]float64{0, 3, 20}).Draw(t, "slack"))
 	s := newSimulation(rapid.Uint64().Draw(t, "seed"), settings, drawTeams(t), rapid.IntRange(1, 5).Draw(t, "vms"))
@@ -131,10 +141,7 @@
 		s := newFaultySimulation(t)
 		s.runUntil(bootclock.Time(faultRun + 5*time.Second))
 		checkTokens(t, s)
-		for _, team := range s.teams {
-			worst := s.worstWindow(team.Name(), 0)
-			assert.Assert(t, float64(worst) <= s.settings.Bound(team), "%d requests in a window, bound %.2f", worst, s.settings.Bound(team))
-		}
+		checkWindows(t, s, s.teams, 0)
 	})
 }
 
@@ -153,9 +160,6 @@
 		s.watchFrom = changedAt.Add(limitApplied)
 		s.runUntil(bootclock.Time(faultRun + 5*time.Second))
 		checkTokens(t, s)
-		for _, team := range lower {
-			worst := s.worstWindow(team.Name(), changedAt.Add(limitApplied))
-			assert.Assert(t, float64(worst) <= s.settings.Bound(team), "%d requests in a window, bound %.2f", worst, s.settings.Bound(team))
-		}
+		checkWindows(t, s, lower, s.watchFrom)
 	})
 }
--- a/core/process/quota/demand.go
+++ b/core/process/quota/demand.go
@@ -40,7 +40,8 @@
 	// rate is the estimated number of requests per second at lastSeen.
 	rate     float64
 	lastSeen bootclock.Time
-	// asked is true if the latest ask wanted stock. noStockUntil is the time until which the owner is not asked for stock.
+	// asked is true if the latest ask wanted stock. noStockUntil is the time until which
+	// the owner is not asked for stock.
 	asked        bool
 	noStockUntil bootclock.Time
 	// refusedUntil is the time until which requests are refused without asking the
--- a/core/process/quota/holder.go
+++ b/core/process/quota/holder.go
@@ -18,9 +18,9 @@
 	maxPendingAsks = 64
 )
 
-// waiting is a request that waits for a token. firstAsk and lastAsk are the numbers of the
+// waitingRequest is a request that waits for a token. firstAsk and lastAsk are the numbers of the
 // first and the latest ask that included it, 0 for none.
-type waiting struct {
+type waitingRequest struct {
 	waiter   Waiter
 	team     string
 	firstAsk uint64
@@ -33,14 +33,17 @@
 	// current is the lease of the newest owner, previous that of the one before.
 	current  *lease
 	previous *lease
-	demands  map[string]*demand
-	waiting  []*waiting
-	lastID   Waiter
-	hold     time.Duration
-	lastAsk  uint64
-	// askedAt has the times of the asks whose answers are accepted.
-	askedAt   map[uint64]bootclock.Time
+	// demands has the teams of recent requests, and waiting the requests without a decision.
+	demands    map[string]*demand
+	waiting    []*waitingRequest
+	lastWaiter Waiter
+	// hold is how long a token is kept for a request that is expected.
+	hold time.Duration
+	// lastAsk is the number of the latest ask, 0 for none, and lastAskAt its time.
+	lastAsk   uint64
 	lastAskAt bootclock.Time
+	// askedAt has the times of the asks whose answers are accepted.
+	askedAt map[uint64]bootclock.Time
 	// used is set while tokens were taken since the last ask.
 	used bool
 }
@@ -50,7 +53,7 @@
 	return &Holder{current: newLease(0), demands: make(map[string]*demand), askedAt: make(map[uint64]bootclock.Time), hold: maxHold}
 }
 
-// SetVMs sets the number of entry VMs.
+// SetVMs sets the number of entry VMs. With more VMs, tokens are kept for a shorter time.
 func (h *Holder) SetVMs(n int) {
 	h.hold = min(maxHold, max(renewInterval, maxHold*vmsWithMaxHold/time.Duration(max(1, n))))
 }
@@ -70,9 +73,9 @@
 	if now.Before(d.refusedUntil) {
 		return Refused{retryAfter: max(minLocalRefusal, d.retryAt.Sub(now))}
 	}
-	h.lastID++
-	h.waiting = append(h.waiting, &waiting{waiter: h.lastID, team: team})
-	return Waiting{waiter: h.lastID}
+	h.lastWaiter++
+	h.waiting = append(h.waiting, &waitingRequest{waiter: h.lastWaiter, team: team})
+	return Waiting{waiter: h.lastWaiter}
 }
 
 // takeStock takes a token from the stock, first from that which expires earlier.
@@ -278,7 +281,7 @@
 		d.noStockUntil = now.Add(stockBackoff)
 	}
 	immediate := g.immediate
-	return h.decide(func(w *waiting) Decision {
+	return h.decide(func(w *waitingRequest) Decision {
 		switch {
 		case w.team != g.team:
 			return nil
@@ -301,7 +304,7 @@
 
 // unanswered decides the requests whose team the owner does not know.
 func (h *Holder) unanswered(ask uint64) []Outcome {
-	return h.decide(func(w *waiting) Decision {
+	return h.decide(func(w *waitingRequest) Decision {
 		if w.lastAsk > 0 && w.lastAsk <= ask {
 			return Unavailable{}
 		}
@@ -310,9 +313,9 @@
 }
 
 // decide removes the requests for which the function returns a decision.
-func (h *Holder) decide(decision func(w *waiting) Decision) []Outcome {
+func (h *Holder) decide(decision func(w *waitingRequest) Decision) []Outcome {
 	var out []Outcome
-	var remaining []*waiting
+	var remaining []*waitingRequest
 	for _, w := range h.waiting {
 		if d := decision(w); d != nil {
 			out = append(out, Outcome{waiter: w.waiter, decision: d})
--- a/core/process/quota/message.go
+++ b/core/process/quota/message.go
@@ -99,8 +99,8 @@
 
 // NewTeamGrant returns what is granted to a team: tokens for requests that waited when the
 // holder asked, which count as spent, and tokens for the stock. With discard, the holder
-// discards the stock of the team that it got before this grant. retryAfter is the time after which a request that
-// waited and got no token may get one.
+// discards the stock of the team that it got before this grant. retryAfter is the time
+// after which a request that waited and got no token may get one.
 func NewTeamGrant(team string, immediate, stock int, discard bool, retryAfter time.Duration) TeamGrant {
 	return TeamGrant{team: team, immediate: immediate, stock: stock, discard: discard, retryAfter: retryAfter}
 }
--- a/core/process/quota/owner.go
+++ b/core/process/quota/owner.go
@@ -93,8 +93,8 @@
 }
 
 // SetTeams sets the teams whose requests are limited. Stock is discarded if a limit falls.
-// A team that was added while the owner has been in charge for longer than a window starts
-// with a full bucket.
+// A team that is added later than the window and the succession after the owner has started
+// begins with a full bucket.
 func (o *Owner) SetTeams(teams []routing.Team, now bootclock.Time) {
 	listed := make(map[string]bool)
 	for _, t := range teams {
