rollout: names and comments of the run, shorter functions of the simulation

Cause: hurryShift, giveUp, strayTime, hopeless and untouched needed explaining; ready and most fields of the simulation had no comment; the comment on reported said "to this leader", which the code does not ask; the request of the simulation had 64 lines.

--- a/core/process/rollout/allot.go
+++ b/core/process/rollout/allot.go
@@ -31,7 +31,7 @@
 	// resolved.
 	doubtSlack = 10
 	// maxTestPart is the largest part of the requests that goes to the new version during
-	// the test: the old versions are compared with.
+	// the test. The others show how the old versions respond at the same time.
 	maxTestPart = 0.75
 	// measureTime is how long the requests are counted before the first ones go to the
 	// new version.
@@ -102,8 +102,8 @@
 	}
 }
 
-// weights returns the VMs that report, in an order at random in which VMs with requests
-// come earlier, and the part of the requests that each is expected to get.
+// weights returns the part of the requests that each VM that reports is expected to get, and
+// these VMs in a random order in which a VM with more requests is likely to come earlier.
 func (r *run) weights(random *rand.Rand, now bootclock.Time) ([]string, map[string]float64) {
 	var vms []string
 	keys, weightOf, sum := make(map[string]float64), make(map[string]float64), 0.0
--- a/core/process/rollout/bounds.go
+++ b/core/process/rollout/bounds.go
@@ -15,8 +15,8 @@
 	// the new version gets most requests.
 	maxGrantTTL  = 1200 * time.Millisecond
 	maxMovingTTL = 600 * time.Millisecond
-	// grantTTLFraction is the largest part of the rollback time for which a VM that is
-	// out of touch may go on sending.
+	// grantTTLFraction is the largest part of the rollback time for which a VM that gets
+	// no further grants may go on sending.
 	grantTTLFraction = 0.4
 )
 
--- a/core/process/rollout/rollout_test.go
+++ b/core/process/rollout/rollout_test.go
@@ -60,8 +60,8 @@
 	t.Helper()
 	assert.Equal(t, s.record.State(), rollout.RolledBack, "%s: %s", what, s.reason)
 	assert.Assert(t, s.exposure() <= maxExposure, "%s: %d of %d requests", what, s.sent, s.all)
-	if s.fiftieth > 0 {
-		assert.Assert(t, s.lastSent-s.fiftieth <= rollout.DefaultRollbackTime, "%s: last request %s after the 50th bad response", what, s.lastSent-s.fiftieth)
+	if s.fiftiethBadAt > 0 {
+		assert.Assert(t, s.lastSentAt-s.fiftiethBadAt <= rollout.DefaultRollbackTime, "%s: last request %s after the 50th bad response", what, s.lastSentAt-s.fiftiethBadAt)
 	}
 }
 
@@ -130,8 +130,8 @@
 type faultCase struct {
 	name  string
 	fault func(s *simulation, at time.Duration)
-	// hopeless is set if the version can't be promoted before the deadline.
-	hopeless bool
+	// rollsBack is set if a good version can't be promoted before the deadline.
+	rollsBack bool
 }
 
 func leaderLost(times ...time.Duration) func(*simulation, time.Duration) {
@@ -148,8 +148,8 @@
 	return func(s *simulation, at time.Duration) { s.noQuorum = at >= from && at < to }
 }
 
-// outOfTouch cuts the first VMs off. They count as absent 1.5 s later.
-func outOfTouch(vms int, from, to time.Duration) func(*simulation, time.Duration) {
+// cutOff cuts the first VMs off. They count as absent 1.5 s later.
+func cutOff(vms int, from, to time.Duration) func(*simulation, time.Duration) {
 	return func(s *simulation, at time.Duration) {
 		for _, v := range s.vms[:vms] {
 			switch at {
@@ -172,9 +172,9 @@
 	{"leader lost in stage full", leaderLost(9200 * time.Millisecond), false},
 	{"leader lost in stage closed", leaderLost(9600 * time.Millisecond), false},
 	{"two leaders lost", leaderLost(2*time.Second, 6*time.Second), false},
-	{"VM out of touch in the test", outOfTouch(1, 3*time.Second, 6*time.Second), false},
-	{"VM out of touch while traffic moves", outOfTouch(1, 9*time.Second, time.Minute), false},
-	{"nine VMs out of touch", outOfTouch(9, 4*time.Second, time.Minute), false},
+	{"VM cut off in the test", cutOff(1, 3*time.Second, 6*time.Second), false},
+	{"VM cut off while traffic moves", cutOff(1, 9*time.Second, time.Minute), false},
+	{"nine VMs cut off", cutOff(9, 4*time.Second, time.Minute), false},
 	{"VMs restart", func(s *simulation, at time.Duration) {
 		if at > 0 && at%(500*time.Millisecond) == 0 && at < 8*time.Second {
 			s.start(s.vms[s.random.IntN(len(s.vms))])
@@ -186,25 +186,25 @@
 }
 
 // Guards against faults of the control VMs and of entry VMs in each stage that lose a good
-// version, promote a bad one, or let a VM out of touch go on with the new version.
+// version, promote a bad one, or let a VM that is cut off go on with the new version.
 func TestFaultsDuringRollouts(t *testing.T) {
-	const maxOutOfTouch = 1300 * time.Millisecond
+	const maxAfterCut = 1300 * time.Millisecond
 	for _, f := range faultCases {
 		for _, vms := range []int{9, 79} {
-			if f.name == "nine VMs out of touch" && vms == 9 {
+			if f.name == "nine VMs cut off" && vms == 9 {
 				continue
 			}
 			s := newSimulation(3, vms, 90, 12*time.Second, goodVersion)
 			s.fault = f.fault
 			s.run()
-			assert.Equal(t, s.record.State() == rollout.Succeeded, !f.hopeless, "%s, %d VMs: %s", f.name, vms, s.reason)
+			assert.Equal(t, s.record.State() == rollout.Succeeded, !f.rollsBack, "%s, %d VMs: %s", f.name, vms, s.reason)
 			assert.Equal(t, s.lostAtEnd, 0, f.name)
-			assert.Assert(t, s.untouched <= maxOutOfTouch, "%s: %s", f.name, s.untouched)
+			assert.Assert(t, s.longestAfterCut <= maxAfterCut, "%s: %s", f.name, s.longestAfterCut)
 			for _, bad := range []behaviour{badVersions[1].version, failsUnderLoad} {
 				s = newSimulation(3, vms, 90, 12*time.Second, bad)
 				s.fault = f.fault
 				checkBad(t, s.run(), 1, fmt.Sprintf("%s, %d VMs", f.name, vms))
-				assert.Assert(t, s.untouched <= maxOutOfTouch, "%s: %s", f.name, s.untouched)
+				assert.Assert(t, s.longestAfterCut <= maxAfterCut, "%s: %s", f.name, s.longestAfterCut)
 			}
 		}
 	}
--- a/core/process/rollout/run.go
+++ b/core/process/rollout/run.go
@@ -19,13 +19,14 @@
 	maxReserve      = 4500 * time.Millisecond
 	// latestShift is the time before the deadline after which no traffic begins to move.
 	latestShift = 900 * time.Millisecond
-	// hurryShift and hurryFull are the times before the deadline after which the stages
-	// Shift and Full take no longer than the VMs need to confirm them.
-	hurryShift = 2 * time.Second
-	hurryFull  = 1300 * time.Millisecond
-	// giveUp is the time before the deadline at which a rollout that is not finished is
+	// shortenShift and shortenFull are the times before the deadline after which the
+	// stages Shift and Full take no longer than the VMs need to confirm them. After
+	// shortenShift, Shift does not begin any more.
+	shortenShift = 2 * time.Second
+	shortenFull  = 1300 * time.Millisecond
+	// rollbackMargin is the time before the deadline at which a rollout that is not finished is
 	// rolled back, so that this is committed before the deadline.
-	giveUp = 500 * time.Millisecond
+	rollbackMargin = 500 * time.Millisecond
 	// stageTime is the least time in the stages Shift and Full, and closedTime that in the
 	// stage Closed, in which a fault under full load shows.
 	stageTime  = 500 * time.Millisecond
@@ -39,9 +40,9 @@
 	// takeoverTime is the longest time for which a new leader waits for the reports of
 	// all VMs.
 	takeoverTime = 1500 * time.Millisecond
-	// strayTime is how long a stage Closed lasts before attempts at the old versions that
-	// have not ended are given up shortly before the deadline.
-	strayTime = 800 * time.Millisecond
+	// drainTimeout is how long the stage Closed lasts before it no longer waits, shortly
+	// before the deadline, for attempts at the old versions.
+	drainTimeout = 800 * time.Millisecond
 	// fullShare is the part of the requests that must go to the new version in the stage
 	// Full before the old versions are closed.
 	fullShare = 0.85
@@ -76,16 +77,19 @@
 	seenAt      bootclock.Time
 	statedAt    bootclock.Time
 	vms         map[string]*vmState
-	// retired holds the counts of runs of VMs that have ended.
+	// retired holds the counts by route of the runs of VMs that have ended, which are
+	// those in retiredRuns. retiredAll and retiredSent are their requests.
 	retired     map[string]*RouteCounts
 	retiredRuns map[vmRun]bool
 	retiredAll  uint64
 	retiredSent uint64
 	judge       judge
 	judgedAt    bootclock.Time
-	ready       bool
-	stage       Stage
-	stageSince  bootclock.Time
+	// ready is true once this leader knows the counts of all VMs or has waited for
+	// takeoverTime. Before that it judges nothing.
+	ready      bool
+	stage      Stage
+	stageSince bootclock.Time
 	// movedSince is when all VMs had confirmed the stage Full, zero before. The counts are
 	// those of that time.
 	movedSince    bootclock.Time
@@ -131,7 +135,8 @@
 }
 
 // takeReport replaces the report of a VM. If the VM has restarted, the counts of the run
-// before are kept, and reports of it that arrive later are ignored.
+// before are kept, and reports of it that arrive later are ignored. number and confirmedAt
+// are those of the grants that the VM had, confirmedAt zero if this leader made none of them.
 func (r *run) takeReport(vm, startID string, sequence uint64, report Report, number uint64, confirmedAt, now bootclock.Time) {
 	if r.retiredRuns[vmRun{vm: vm, startID: startID}] {
 		return
@@ -219,8 +224,8 @@
 	r.judge.step(routes, running)
 }
 
-// waitFor returns the VMs whose state matters: those from which messages arrive, and those
-// that have reported a short time ago.
+// waitFor returns the VMs whose confirmation a stage needs: those from which messages
+// arrive, and those that have reported within forgetTime. A VM may be in it twice.
 func (r *run) waitFor(vms []string, now bootclock.Time) []string {
 	out := append([]string(nil), vms...)
 	for vm, v := range r.vms {
@@ -231,7 +236,7 @@
 	return out
 }
 
-// confirmed reports whether all VMs that matter have the present stage in force, and what
+// confirmed reports whether all VMs of waitFor have the present stage in force, and what
 // they report then meets a condition.
 func (r *run) confirmed(vms []string, now bootclock.Time, condition func(Report) bool) bool {
 	for _, vm := range r.waitFor(vms, now) {
@@ -243,7 +248,7 @@
 	return true
 }
 
-// reported reports whether all VMs that matter have sent a report to this leader.
+// reported reports whether the latest report of each VM is younger than confirmationAge.
 func (r *run) reported(vms []string, now bootclock.Time) bool {
 	for _, vm := range vms {
 		if v := r.vms[vm]; v == nil || now.Sub(v.at) >= confirmationAge {
--- a/core/process/rollout/simulation_test.go
+++ b/core/process/rollout/simulation_test.go
@@ -50,31 +50,45 @@
 	fault  func(s *simulation, at time.Duration)
 	events map[int][]func()
 
+	// all and sent count the requests until the deadline and those of them that went to
+	// the new version, and bad its bad responses.
 	all, sent, bad int
-	fiftieth       time.Duration
-	lastSent       time.Duration
-	endedAt        time.Duration
-	recent         []int
-	lostAtEnd      int
-	untouched      time.Duration
-	reason         string
+	// The times count from the order: that of the 50th bad response, that of the last
+	// request to the new version, and that of the end of the rollout, with its reason.
+	fiftiethBadAt time.Duration
+	lastSentAt    time.Duration
+	endedAt       time.Duration
+	reason        string
+	// recent has the ticks of the requests to the new version in the last second.
+	recent []int
+	// lostAtEnd counts the requests at old targets when the rollout succeeded.
+	lostAtEnd int
+	// longestAfterCut is the longest time after which a VM that was cut off still sent a
+	// request to the new version.
+	longestAfterCut time.Duration
 }
 
 type simulatedVM struct {
-	name   string
+	name string
+	// starts identifies the run of the process.
 	starts int
 	gate   *rollout.Gate
-	cut    bool
-	// inOld counts the requests at old targets, inNew has when those at new ones were
-	// sent.
-	inNew   map[time.Duration]bool
-	inOld   int
-	number  uint64
-	sentAt  map[uint64]bootclock.Time
-	latest  rollout.Confirmation
+	// cut is true while no message reaches the VM, since cutAt. present is true while its
+	// messages count as arriving.
+	cut     bool
 	cutAt   time.Duration
-	offset  int
 	present bool
+	// inOld counts the requests at old targets, inNew has when those at new ones were
+	// sent.
+	inNew map[time.Duration]bool
+	inOld int
+	// number is that of the latest report, sentAt has when each was sent, and latest names
+	// the latest grants.
+	number uint64
+	sentAt map[uint64]bootclock.Time
+	latest rollout.Confirmation
+	// offset is the number of ticks by which its reports are earlier than those of others.
+	offset int
 	// known is what the VM knows of the rollout.
 	known rollout.Record
 }
@@ -246,69 +260,3 @@
 	}
 	return s.vms[s.random.IntN(len(s.vms))]
 }
-
-// request is one request for the service.
-func (s *simulation) request() {
-	v, route := s.pick(), 0
-	switch n := s.random.Float64(); {
-	case n < 0.1:
-		route = 2
-	case n < 0.4:
-		route = 1
-	}
-	running := v.known.State() == rollout.Running
-	updated := v.known.State() == rollout.Succeeded
-	if running {
-		updated = v.gate.NextMayBeNew(s.now())
-		v.gate.CountRequest(updated)
-	}
-	took := time.Duration((8 + 20*float64(route) + 4*s.random.ExpFloat64()) * float64(time.Millisecond))
-	fails := s.random.Float64() < 0.005
-	if s.since() <= s.record.Duration() {
-		s.all++
-	}
-	if updated {
-		if v.cut && s.since()-v.cutAt > s.untouched {
-			s.untouched = s.since() - v.cutAt
-		}
-		s.recent = append(s.recent, s.ticks)
-		for len(s.recent) > 0 && s.recent[0] < s.ticks-100 {
-			s.recent = s.recent[1:]
-		}
-		var factor float64
-		fails, factor = s.version(s.random, s.since(), route, len(s.recent))
-		took = time.Duration(float64(took) * factor)
-		if s.since() <= s.record.Duration() {
-			s.sent++
-		}
-		s.lastSent = s.since()
-	}
-	gate, starts := v.gate, v.starts
-	sentAt := s.since()
-	if updated {
-		v.inNew[sentAt] = true
-	} else {
-		v.inOld++
-	}
-	s.after(int(took/tick)+1, func() {
-		if v.starts != starts {
-			return
-		}
-		if updated {
-			delete(v.inNew, sentAt)
-		} else {
-			v.inOld--
-		}
-		if fails {
-			gate.CountFailure(fmt.Sprint(route), updated)
-		} else {
-			gate.CountResponse(fmt.Sprint(route), updated, took)
-		}
-		if updated && (fails || took > 40*time.Millisecond) {
-			s.bad++
-			if s.bad == 50 {
-				s.fiftieth = s.since()
-			}
-		}
-	})
-}
--- a/core/process/rollout/step.go
+++ b/core/process/rollout/step.go
@@ -18,7 +18,7 @@
 		r.weigh(now)
 		r.advance(c, vms, now)
 	}
-	if r.outcome == 0 && r.remaining(now) <= giveUp {
+	if r.outcome == 0 && r.remaining(now) <= rollbackMargin {
 		r.rollBack("no verdict before the deadline", now)
 	}
 	if r.outcome == Succeed && !r.mayFinish(vms, now) {
@@ -67,12 +67,12 @@
 		r.allot(c, now)
 		r.leaveTest(remaining, now)
 	case Shift:
-		if r.mayAdvance(vms, remaining <= hurryShift, now) {
+		if r.mayAdvance(vms, remaining <= shortenShift, now) {
 			r.enter(Full, now)
 		}
 	case Full:
-		hurry := remaining <= hurryFull
-		if r.mayAdvance(vms, hurry, now) && (hurry || r.moved(now)) {
+		short := remaining <= shortenFull
+		if r.mayAdvance(vms, short, now) && (short || r.moved(now)) {
 			r.enter(Closed, now)
 		}
 	case Closed:
@@ -91,7 +91,7 @@
 	case remaining <= latestShift:
 		r.rollBack("too few good responses", now)
 	case remaining > r.reserve() || !r.judge.good(late):
-	case remaining <= hurryShift:
+	case remaining <= shortenShift:
 		r.enter(Full, now)
 	default:
 		r.enter(Shift, now)
@@ -99,9 +99,9 @@
 }
 
 // mayAdvance reports whether the stage Shift or Full has lasted long enough and the version
-// still counts as good. In a hurry it lasts no longer than the VMs need to confirm it.
-func (r *run) mayAdvance(vms []string, hurry bool, now bootclock.Time) bool {
-	if !r.judge.good(true) || now.Sub(r.stageSince) < stageTime && !hurry {
+// still counts as good. If it is short, it lasts no longer than the VMs need to confirm it.
+func (r *run) mayAdvance(vms []string, short bool, now bootclock.Time) bool {
+	if !r.judge.good(true) || now.Sub(r.stageSince) < stageTime && !short {
 		return false
 	}
 	return r.confirmed(vms, now, func(Report) bool { return true })
@@ -127,7 +127,7 @@
 	if r.confirmed(vms, now, func(p Report) bool { return p.running.old == 0 }) {
 		return true
 	}
-	return r.remaining(now) <= giveUp+judgeInterval && now.Sub(r.stageSince) >= strayTime &&
+	return r.remaining(now) <= rollbackMargin+judgeInterval && now.Sub(r.stageSince) >= drainTimeout &&
 		r.confirmed(vms, now, func(Report) bool { return true })
 }
 
--- a/core/process/rollout/unit_test.go
+++ b/core/process/rollout/unit_test.go
@@ -16,6 +16,13 @@
 
 func noMedian(string) time.Duration { return 0 }
 
+// newController returns a controller that has observed a record.
+func newController(r rollout.Record, at bootclock.Time) *rollout.Controller {
+	c := rollout.NewController(rollout.DefaultBounds(), rand.New(rand.NewPCG(1, 2)))
+	c.Observe([]rollout.Record{r}, at)
+	return c
+}
+
 // Guards against versions in use that change without an order, or before it succeeds.
 func TestVersionsInUse(t *testing.T) {
 	r := rollout.NewRecord("s", []string{"v2", "v1", "v1"})
@@ -38,8 +45,7 @@
 func TestGateKeepsToItsGrant(t *testing.T) {
 	at := bootclock.Time(time.Hour)
 	r := rollout.NewRecord("s", []string{"v1"}).Started(5, "v2", time.Minute)
-	c := rollout.NewController(rollout.DefaultBounds(), rand.New(rand.NewPCG(1, 2)))
-	c.Observe([]rollout.Record{r}, at)
+	c := newController(r, at)
 	c.SetLeader(true, 1, at)
 	g := rollout.NewGate(r, 0.5, noMedian)
 	assert.Assert(t, !g.NextMayBeNew(at))
@@ -74,9 +80,8 @@
 // The same order must count as repeated for 12 s after its end, by the clock of this VM.
 func TestSameOrderIsRenewedAfterTwelveSeconds(t *testing.T) {
 	at := bootclock.Time(time.Hour)
-	c := rollout.NewController(rollout.DefaultBounds(), rand.New(rand.NewPCG(1, 2)))
 	r := rollout.NewRecord("s", []string{"v1"}).Started(5, "v2", time.Second)
-	c.Observe([]rollout.Record{r}, at)
+	c := newController(r, at)
 	assert.Assert(t, !c.MayRepeat("s", at.Add(time.Minute)))
 	c.Observe([]rollout.Record{r.Ended(false)}, at)
 	assert.Assert(t, !c.MayRepeat("s", at.Add(11900*time.Millisecond)))
@@ -109,12 +114,11 @@
 }
 
 // Guards against requests that are counted twice because a VM has restarted, or because a
-// report of its former run arrives late on another way.
+// report of its former run arrives late through another VM.
 func TestRestartOfAVMIsNotCountedTwice(t *testing.T) {
 	at := bootclock.Time(time.Hour)
 	r := rollout.NewRecord("s", []string{"v1"}).Started(5, "v2", time.Minute)
-	c := rollout.NewController(rollout.DefaultBounds(), rand.New(rand.NewPCG(1, 2)))
-	c.Observe([]rollout.Record{r}, at)
+	c := newController(r, at)
 	before, after := rollout.NewGate(r, 0, noMedian), rollout.NewGate(r, 0, noMedian)
 	before.CountFailure("route", true)
 	after.CountFailure("route", true)
