control, replica: MarkSettled in both, clearer doc comments, shorter test files

Cause: control.Settle appended what replica calls MarkSettled, while replica.Settle is a command about claims.

--- a/core/process/cluster/tokenowner.go
+++ b/core/process/cluster/tokenowner.go
@@ -142,7 +142,7 @@
 		return
 	}
 	o.settled = true
-	o.control.Settle(o.owner.Term())
+	o.control.MarkSettled(o.owner.Term())
 }
 
 // answer answers an ask of a holder. It returns false if this VM may not grant, or for an
--- a/core/process/control/leadership_test.go
+++ b/core/process/control/leadership_test.go
@@ -27,9 +27,9 @@
 		assert.Assert(t, !exists)
 		commit := c.Status().Commit()
 		if settle {
-			c.Settle(c.Status().Term() + 1)
-			c.Settle(c.Status().Term())
-			c.Settle(c.Status().Term())
+			c.MarkSettled(c.Status().Term() + 1)
+			c.MarkSettled(c.Status().Term())
+			c.MarkSettled(c.Status().Term())
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
 				if c.Status().Commit() == commit {
 					return poll.Continue("not committed")
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -89,7 +89,7 @@
 		c.propose(e, now)
 	case readRequest:
 		c.beginRead(e, now)
-	case settleRequest:
+	case markSettledRequest:
 		c.node.MarkSettled(e.term)
 	}
 }
@@ -313,10 +313,10 @@
 	return c.journal.Replace(records)
 }
 
-// bootstrapOrJoin bootstraps the log, or sends the VMs that have it a request
-// to join if replica.Node.ShouldJoin says so. Only the VM with the lowest member name bootstraps, and only after
-// all expected control VMs have reported that they have no log: a VM that lost
-// its disk must not bootstrap a second log.
+// bootstrapOrJoin bootstraps the log, or sends the VMs that have it a request to join
+// if replica.Node.ShouldJoin says so. Only the VM with the lowest member name
+// bootstraps, and only after all expected control VMs have reported that they have no
+// log: a VM that lost its disk must not bootstrap a second log.
 func (c *Control) bootstrapOrJoin(now time.Time) {
 	if !c.node.ShouldJoin(now) || now.Sub(c.lastJoinAt) < joinInterval {
 		return
--- a/core/process/control/status.go
+++ b/core/process/control/status.go
@@ -21,10 +21,12 @@
 	routes       replica.Routes
 	caughtUp     bool
 	quorumAge    time.Duration
-	at           time.Time
-	provenAt     bootclock.Time
-	proven       bool
-	leadership   Leadership
+	// at is when this status was made, by the clock of Go.
+	at time.Time
+	// provenAt and proven are described at RoutesProvenAt.
+	provenAt   bootclock.Time
+	proven     bool
+	leadership Leadership
 }
 
 // Member returns the replica id and the VM of this process.
--- a/core/process/replica/membership_test.go
+++ b/core/process/replica/membership_test.go
@@ -46,6 +46,7 @@
 	return true
 }
 
+// step takes one random step: it lets time pass, publishes, or begins or ends a fault.
 func (run *membershipRun) step(action, choice int) {
 	c := run.cluster
 	vm := c.vmNames[choice%len(c.vmNames)]
@@ -54,24 +55,9 @@
 	case 0, 1, 2:
 		c.advance(time.Duration(50+choice%600) * time.Millisecond)
 	case 3, 4, 5:
-		// Publish a new version or, in a quarter of the cases, an earlier one.
-		run.publishedVersion++
-		version := run.publishedVersion
-		if choice%4 == 0 && version > 2 {
-			version -= 2
-		}
-		for _, name := range c.vmNames {
-			c.propose(name, NewPublishRoutes(version, fmt.Appendf(nil, "version %d", version)))
-		}
+		run.publish(choice)
 	case 6:
-		// Block all messages from a VM and, in half of the cases, also those to
-		// it.
-		for _, other := range c.vmNames {
-			c.blockedLinks[vm+">"+other] = true
-			if choice%2 == 0 {
-				c.blockedLinks[other+">"+vm] = true
-			}
-		}
+		c.block(vm, choice%2 == 0)
 	case 7, 8:
 		clear(c.blockedLinks)
 	case 9:
@@ -92,28 +78,57 @@
 	case 13:
 		c.compactLog(vm)
 	case 14:
-		// Partition the VMs into two halves.
-		half := len(c.vmNames) / 2
-		for i, a := range c.vmNames {
-			for j, b := range c.vmNames {
-				if (i < half) != (j < half) {
-					c.blockedLinks[a+">"+b] = true
-				}
-			}
-		}
+		c.partition(len(c.vmNames) / 2)
 	case 15:
-		// All VMs lose power and restart at once.
-		for _, name := range c.vmNames {
-			if c.vms[name].running {
-				c.crash(name, false)
+		c.restartAll()
+	}
+	c.join()
+	run.checkRoutes()
+}
+
+// publish publishes a new version or, in a quarter of the cases, an earlier one.
+func (run *membershipRun) publish(choice int) {
+	run.publishedVersion++
+	version := run.publishedVersion
+	if choice%4 == 0 && version > 2 {
+		version -= 2
+	}
+	for _, name := range run.cluster.vmNames {
+		run.cluster.propose(name, NewPublishRoutes(version, fmt.Appendf(nil, "version %d", version)))
+	}
+}
+
+// block blocks all messages from a VM and, if bothWays is set, also those to it.
+func (c *cluster) block(vm string, bothWays bool) {
+	for _, other := range c.vmNames {
+		c.blockedLinks[vm+">"+other] = true
+		if bothWays {
+			c.blockedLinks[other+">"+vm] = true
+		}
+	}
+}
+
+// partition blocks all messages between the first VMs and the others.
+func (c *cluster) partition(first int) {
+	for i, a := range c.vmNames {
+		for j, b := range c.vmNames {
+			if (i < first) != (j < first) {
+				c.blockedLinks[a+">"+b] = true
 			}
 		}
-		for _, name := range c.vmNames {
-			c.start(name)
+	}
+}
+
+// restartAll lets all VMs lose power and restart at once.
+func (c *cluster) restartAll() {
+	for _, name := range c.vmNames {
+		if c.vms[name].running {
+			c.crash(name, false)
 		}
 	}
-	c.join()
-	run.checkRoutes()
+	for _, name := range c.vmNames {
+		c.start(name)
+	}
 }
 
 // checkRoutes checks that all VMs with the same revision have the same routes.
--- a/core/process/replica/predecessor.go
+++ b/core/process/replica/predecessor.go
@@ -13,8 +13,9 @@
 	since time.Time
 	// predecessorTerm and predecessorSince are the values before this replica last became
 	// the leader.
-	predecessorTerm    uint64
-	predecessorSince   time.Time
+	predecessorTerm  uint64
+	predecessorSince time.Time
+	// predecessorSettled is true if the log holds the MarkSettled of predecessorTerm.
 	predecessorSettled bool
 }
 
@@ -36,8 +37,8 @@
 }
 
 // Predecessor returns, on a leader, a time at or after the election of the last leader
-// before it that has committed an entry, and whether that one has called MarkSettled. It
-// returns false for exists if there was none: every earlier leader was deposed by that time.
+// before it that has committed an entry, and whether that one has called MarkSettled. Every
+// leader before that one was deposed by that time. exists is false if there was none.
 func (n *Node) Predecessor() (since time.Time, settled, exists bool) {
 	return n.history.predecessorSince, n.history.predecessorSettled, n.history.predecessorTerm > 0
 }
--- a/core/process/replica/rollout.go
+++ b/core/process/replica/rollout.go
@@ -57,7 +57,7 @@
 }
 
 // StateElapsed states how much of the duration of a running rollout has passed, for the
-// next leader. It is not a change of the routes, so that the revision stays.
+// next leader. It is not a change of the routes, so the revision stays the same.
 type StateElapsed struct {
 	service string
 	order   uint64
@@ -166,6 +166,7 @@
 		return RolloutOutcome{code: result.VersionConflict, revision: s.routes.revision}
 	}
 	s.routes.revision++
+	// Where only the target version is listed, it is the one in use.
 	listed := slices.DeleteFunc(slices.Clone(c.listed), func(v string) bool { return v == c.version })
 	if len(listed) == 0 {
 		listed = c.listed
