--- a/core/process/cluster/calls.go
+++ b/core/process/cluster/calls.go
@@ -29,17 +29,22 @@
 // ends. The error is that of the last attempt: NoQuorum if no leader was known, and
 // Internal for an outcome of another type.
 func (c *Cluster) Submit(ctx context.Context, command replica.Command) (replica.RoutesOutcome, error) {
-	var out replica.RoutesOutcome
+	return submit[replica.RoutesOutcome](ctx, c, command)
+}
+
+// submit is Submit for a command whose outcome is of type T.
+func submit[T replica.Outcome](ctx context.Context, c *Cluster, command replica.Command) (T, error) {
+	var out T
 	err := c.retryWithLeader(ctx, func(ctx context.Context, leader string) error {
 		outcome, err := c.submitTo(ctx, leader, command)
 		if err != nil {
 			return err
 		}
-		routes, ok := outcome.(replica.RoutesOutcome)
+		typed, ok := outcome.(T)
 		if !ok {
-			return result.New(result.Internal, "the outcome of the command is not of type replica.RoutesOutcome")
+			return result.New(result.Internal, "the outcome of the command is not of type %T", out)
 		}
-		out = routes
+		out = typed
 		return nil
 	})
 	return out, err
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -8,6 +8,11 @@
 // its sessions. The presence carries the VM's identity, the revision of its
 // routes, the number and age of its target list and, from control VMs, the
 // addresses of other control VMs.
+//
+// On the same sessions it does the I/O of what several VMs decide together: the
+// confirmations of routes (package confirmation), the tokens of quotas (package
+// quota), the reports and grants of rollouts (package rollout), and what the
+// requests of entry VMs show of the health and slowness of targets.
 package cluster
 
 import (
@@ -150,7 +155,7 @@
 // New returns the cluster of the process self. The seeds are the addresses of the
 // control VMs that Run dials first. No session is opened before Run.
 func New(self Identity, seeds []string, reader ListReader, observer Observer, log *zap.Logger) *Cluster {
-	c := &Cluster{
+	return &Cluster{
 		self:           self,
 		log:            log,
 		observer:       observer,
@@ -164,9 +169,8 @@
 		entryVMSeen:    make(map[string]time.Time),
 		confirming:     newConfirming(),
 		slowness:       newSlownessState(),
+		rollouts:       newRolloutRole(),
 	}
-	c.rollouts.init()
-	return c
 }
 
 // EnableControl makes this process a control VM that stores the replicated log
@@ -307,55 +311,6 @@
 	}
 }
 
-// adoptRoutes replaces the routes and notifies the observer if the given ones
-// are newer. It reports whether they were.
-func (c *Cluster) adoptRoutes(routes replica.Routes, now time.Time) bool {
-	c.observerMu.Lock()
-	defer c.observerMu.Unlock()
-	c.mu.Lock()
-	newer := routes.Revision() > c.routes.Revision()
-	if newer {
-		c.routes = routes
-	}
-	c.mu.Unlock()
-	c.confirming.holder.Learn(routes.Revision())
-	if newer {
-		c.log.Info("adopted newer routes", zap.Uint64("revision", routes.Revision()), zap.Uint64("version", routes.Version()), zap.Strings("out-of-service", routes.OutOfService()))
-		if c.tokenOwner != nil {
-			c.tokenOwner.setRoutes(routes)
-		}
-		c.observer.RoutesChanged(routes, now)
-		c.renewConfirmation(now)
-	}
-	return newer
-}
-
-// adoptList replaces the target list if the given one is newer, and reports
-// whether it was.
-func (c *Cluster) adoptList(list discovery.List, now time.Time) bool {
-	c.observerMu.Lock()
-	defer c.observerMu.Unlock()
-	c.mu.Lock()
-	newer := list.Newer(c.list)
-	var difference discovery.Difference
-	first := c.list.Empty()
-	if newer {
-		difference = discovery.Compare(c.list, list)
-		c.list = list
-	}
-	c.mu.Unlock()
-	if !newer {
-		return false
-	}
-	changed := first || !difference.Empty()
-	if changed {
-		c.log.Info("target list changed", zap.Int("targets", len(list.Instances())),
-			zap.Int("changed", len(difference.Changed())), zap.Int("removed", len(difference.Removed())))
-	}
-	c.observer.TargetsRead(list, changed, now)
-	return true
-}
-
 // IsVoter reports whether this VM is a voter of the replicated log.
 func (c *Cluster) IsVoter() bool {
 	if c.control == nil {
--- a/core/process/cluster/confirm.go
+++ b/core/process/cluster/confirm.go
@@ -29,24 +29,24 @@
 // renewConfirmation asks for a new proof if one is due. A control VM also answers the
 // questions that wait for one.
 func (c *Cluster) renewConfirmation(now time.Time) {
-	boot := bootclock.Now()
+	bootNow := bootclock.Now()
 	if c.control == nil {
-		c.askControlVMs(boot, now)
+		c.askControlVMs(bootNow, now)
 		return
 	}
-	proof, fresh := c.ownProof(boot)
+	proof, fresh := c.ownProof(bootNow)
 	switch {
 	case fresh:
 		c.confirming.holder.AddProof(proof)
 		c.answerWaiting(proof)
 	case c.confirming.holder.Needed() || c.hasWaiting():
-		c.askLeader(boot)
+		c.askLeader(bootNow)
 	}
 }
 
 // askControlVMs sends the question that is due to some of the live control VMs. Each VM
 // starts at another one, so that the questions are spread over them.
-func (c *Cluster) askControlVMs(boot bootclock.Time, now time.Time) {
+func (c *Cluster) askControlVMs(bootNow bootclock.Time, now time.Time) {
 	if !c.confirming.holder.Needed() {
 		return
 	}
@@ -54,7 +54,7 @@
 	if len(addresses) == 0 {
 		return
 	}
-	q, due := c.confirming.holder.Next(perControlVM, boot)
+	q, due := c.confirming.holder.Next(perControlVM, bootNow)
 	if !due {
 		return
 	}
@@ -90,15 +90,15 @@
 
 // ownProof returns the proof of this control VM and whether it is fresh: as the leader, that
 // of the replicated log, and otherwise what the leader answered last.
-func (c *Cluster) ownProof(boot bootclock.Time) (confirmation.Proof, bool) {
+func (c *Cluster) ownProof(bootNow bootclock.Time) (confirmation.Proof, bool) {
 	s := c.control.Status()
 	if at, ok := s.RoutesProvenAt(); ok {
-		if p := confirmation.NewProof(s.Routes().Revision(), at); c.confirming.holder.Fresh(p, boot) {
+		if p := confirmation.NewProof(s.Routes().Revision(), at); c.confirming.holder.Fresh(p, bootNow) {
 			return p, true
 		}
 	}
 	p, _ := c.confirming.holder.Latest()
-	return p, c.confirming.holder.Fresh(p, boot)
+	return p, c.confirming.holder.Fresh(p, bootNow)
 }
 
 // receiveConfirmRevision answers the question of another VM, at once if this VM has a fresh
@@ -108,9 +108,9 @@
 	if c.control == nil {
 		return
 	}
-	boot := bootclock.Now()
-	if proof, fresh := c.ownProof(boot); fresh {
-		sendProof(s, m.Number(), proof, boot)
+	bootNow := bootclock.Now()
+	if proof, fresh := c.ownProof(bootNow); fresh {
+		sendProof(s, m.Number(), proof, bootNow)
 		return
 	}
 	c.mu.Lock()
@@ -118,22 +118,22 @@
 		c.confirming.relay.Wait(s, m.Number())
 	}
 	c.mu.Unlock()
-	c.askLeader(boot)
+	c.askLeader(bootNow)
 }
 
-// sendProof answers a question that arrived no later than boot.
-func sendProof(s *session.Session, number uint64, proof confirmation.Proof, boot bootclock.Time) {
-	s.Send(peer.Encode(peer.NewRevisionConfirmed(number, proof.Revision(), boot.Sub(proof.Since()))))
+// sendProof answers a question that arrived no later than bootNow.
+func sendProof(s *session.Session, number uint64, proof confirmation.Proof, bootNow bootclock.Time) {
+	s.Send(peer.Encode(peer.NewRevisionConfirmed(number, proof.Revision(), bootNow.Sub(proof.Since()))))
 }
 
 // receiveRevisionConfirmed takes in the answer to a question of this VM. A control VM passes
 // it on to those that wait for it.
 func (c *Cluster) receiveRevisionConfirmed(m peer.RevisionConfirmed) {
-	boot := bootclock.Now()
-	if !c.confirming.holder.Answer(m.Number(), m.Revision(), m.Age(), boot) || c.control == nil {
+	bootNow := bootclock.Now()
+	if !c.confirming.holder.Answer(m.Number(), m.Revision(), m.Age(), bootNow) || c.control == nil {
 		return
 	}
-	if proof, fresh := c.ownProof(boot); fresh {
+	if proof, fresh := c.ownProof(bootNow); fresh {
 		c.answerWaiting(proof)
 	}
 }
@@ -153,21 +153,21 @@
 	if c.confirming.relay.Waiting() == 0 {
 		return
 	}
-	boot := bootclock.Now()
-	c.confirming.relay.Release(func(s *session.Session, number uint64) { sendProof(s, number, proof, boot) })
+	bootNow := bootclock.Now()
+	c.confirming.relay.Release(func(s *session.Session, number uint64) { sendProof(s, number, proof, bootNow) })
 }
 
 // askLeader asks the leader for a proof, unless this VM has just done so. It does nothing
 // while the leader is not known or this VM leads.
-func (c *Cluster) askLeader(boot bootclock.Time) {
+func (c *Cluster) askLeader(bootNow bootclock.Time) {
 	leader := c.leader()
 	if leader == "" || leader == c.self.address {
 		return
 	}
 	c.mu.Lock()
-	due := c.confirming.relay.MayAskLeader(boot)
+	due := c.confirming.relay.MayAskLeader(bootNow)
 	c.mu.Unlock()
 	if due {
-		c.send(leader, peer.NewConfirmRevision(c.confirming.holder.Ask(boot)))
+		c.send(leader, peer.NewConfirmRevision(c.confirming.holder.Ask(bootNow)))
 	}
 }
--- a/core/process/cluster/findings.go
+++ b/core/process/cluster/findings.go
@@ -166,8 +166,8 @@
 }
 
 // sharesFindingsWith reports whether this control VM sends findings to a peer: to the
-// entry VMs of its own data centre and, from the leader, to those of data centres in
-// servedCentres that have no control VM of their own. All entry VMs report to all control
+// entry VMs of its own data centre and, from the leader, to those of data centres that have
+// no control VM of their own, which are not in servedCentres. All entry VMs report to all control
 // VMs, so that each of them knows the same unless it is partitioned from some.
 func (c *Cluster) sharesFindingsWith(r *peerState, servedCentres map[string]bool) bool {
 	if r.presence.Address() != "" {
--- a/core/process/cluster/rollout.go
+++ b/core/process/cluster/rollout.go
@@ -34,19 +34,24 @@
 	rolloutProposalTimeout = time.Second
 )
 
-// rolloutRole holds the part of a process in rollouts. Its lock is taken alone.
+// rolloutRole holds the part of a process in rollouts. No other lock is taken while mu is
+// held.
 type rolloutRole struct {
 	bounds rollout.Bounds
 	// gate is nil on a VM that answers no callers.
 	gate RolloutGate
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// controller, reporters, stages and proposing are used on control VMs only. controller
+	// is nil until the replica has caught up.
 	controller *rollout.Controller
-	reporters  map[string]rolloutReporter
-	stages     map[string]rollout.Stage
+	// reporters has the entry VMs by name, and stages the latest stage by service.
+	reporters map[string]rolloutReporter
+	stages    map[string]rollout.Stage
 	// proposing has the names of what was proposed to the log and has no outcome yet.
 	proposing map[string]bool
-	reporter  reporterState
+	// reporter is used on VMs that answer callers.
+	reporter reporterState
 }
 
 // rolloutReporter is an entry VM that has sent reports.
@@ -70,32 +75,21 @@
 	c.rollouts.gate = gate
 }
 
-// init prepares the role of a process with the default bounds.
-func (r *rolloutRole) init() {
-	r.bounds = rollout.DefaultBounds()
-	r.reporters = make(map[string]rolloutReporter)
-	r.stages = make(map[string]rollout.Stage)
-	r.proposing = make(map[string]bool)
-	r.reporter.sentAt = make(map[uint64]bootclock.Time)
+// newRolloutRole returns the role of a process with the default bounds.
+func newRolloutRole() rolloutRole {
+	return rolloutRole{
+		bounds:    rollout.DefaultBounds(),
+		reporters: make(map[string]rolloutReporter),
+		stages:    make(map[string]rollout.Stage),
+		proposing: make(map[string]bool),
+		reporter:  reporterState{sentAt: make(map[uint64]bootclock.Time)},
+	}
 }
 
 // StartRollout submits the order of a rollout through the leader, as Submit does. The same
 // order may be sent more than once.
 func (c *Cluster) StartRollout(ctx context.Context, order replica.StartRollout) (replica.RolloutOutcome, error) {
-	var out replica.RolloutOutcome
-	err := c.retryWithLeader(ctx, func(ctx context.Context, leader string) error {
-		outcome, err := c.submitTo(ctx, leader, order)
-		if err != nil {
-			return err
-		}
-		accepted, ok := outcome.(replica.RolloutOutcome)
-		if !ok {
-			return result.New(result.Internal, "the outcome of the command is not of type replica.RolloutOutcome")
-		}
-		out = accepted
-		return nil
-	})
-	return out, err
+	return submit[replica.RolloutOutcome](ctx, c, order)
 }
 
 // HasTargets reports whether the target list of this VM has a target of a service.
@@ -177,11 +171,12 @@
 	}
 }
 
-// logStages logs the rollouts whose stage has changed. The caller holds rollouts.mu.
-func (c *Cluster) logStages(records []rollout.Record, leads bool) {
+// logStages logs the rollouts whose stage has changed, if this VM decides them. The caller
+// holds rollouts.mu.
+func (c *Cluster) logStages(records []rollout.Record, decides bool) {
 	for _, record := range records {
 		stage := c.rollouts.controller.Stage(record.Service())
-		if leads && stage != c.rollouts.stages[record.Service()] {
+		if decides && stage != c.rollouts.stages[record.Service()] {
 			c.log.Info("rollout stage changed", zap.String("service", record.Service()), zap.Uint64("order", record.Order()),
 				zap.String("version", record.Version()), zap.Stringer("stage", stage), zap.String("evidence", c.rollouts.controller.Evidence(record.Service())))
 		}
--- a/core/process/cluster/rollout_test.go
+++ b/core/process/cluster/rollout_test.go
@@ -11,7 +11,6 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/mulberrydale/mulberrydale/core/connection/frame"
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
@@ -105,17 +104,10 @@
 	_, err := c.StartRollout(context.Background(), replica.NewStartRollout("s", "v2", time.Minute))
 	assert.NilError(t, err)
 	for _, startID := range []string{"s", peer.MarkStartID("s")} {
-		conn, err := net.Dial("tcp", address)
-		assert.NilError(t, err)
-		defer conn.Close()
-		assert.NilError(t, frame.Write(conn, peer.Encode(peer.NewPresence("entry-9", "", "dc-1", startID, 0))))
-		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		s := dialRaw(t, address, peer.NewPresence("entry-9", "", "dc-1", startID, 0), 5*time.Second)
 		routes, targets := false, false
 		for !routes || !targets {
-			payload, err := frame.Read(conn)
-			assert.NilError(t, err)
-			m, err := peer.Decode(payload)
-			assert.NilError(t, err)
+			m, _ := s.receive()
 			switch m := m.(type) {
 			case peer.PublishedRoutes:
 				routes = true
@@ -141,17 +133,10 @@
 	for n := range 3 {
 		vm := fmt.Sprintf("entry-%d", n)
 		startID := peer.MarkStartID(vm)
-		conn, err := net.Dial("tcp", in.processes[fmt.Sprintf("control-%d", n)].address)
-		assert.NilError(t, err)
-		defer conn.Close()
-		assert.NilError(t, frame.Write(conn, peer.Encode(peer.NewPresence(vm, "", "dc-1", startID, 0))))
-		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		s := dialRaw(t, in.processes[fmt.Sprintf("control-%d", n)].address, peer.NewPresence(vm, "", "dc-1", startID, 0), 5*time.Second)
 		var gate *rollout.Gate
 		for number, granted := uint64(0), false; !granted; {
-			payload, err := frame.Read(conn)
-			assert.NilError(t, err, "no grants through %s", vm)
-			m, err := peer.Decode(payload)
-			assert.NilError(t, err)
+			m, _ := s.receive()
 			switch m := m.(type) {
 			case peer.PublishedRoutes:
 				if r, ok := rollout.Find(m.Routes().Rollouts(), "s"); ok {
@@ -165,7 +150,7 @@
 			if gate != nil && !granted {
 				number++
 				reports := []rollout.Report{gate.Report(rollout.InFlight{}, true, 0)}
-				assert.NilError(t, frame.Write(conn, peer.Encode(peer.NewRolloutReports(startID, number, rollout.Confirmation{}, reports).WithNeedsRelay(true))))
+				s.send(peer.NewRolloutReports(startID, number, rollout.Confirmation{}, reports).WithNeedsRelay(true))
 			}
 		}
 	}
--- a/core/process/cluster/rolloutformat.go
+++ b/core/process/cluster/rolloutformat.go
@@ -35,11 +35,11 @@
 // that were only recorded do not count: the leader alone publishes these, since the routes
 // have tens of kilobytes.
 func rolloutsDiffer(a, b replica.Routes) bool {
-	return !bytes.Equal(rollout.EncodeRecords(ordered(a.Rollouts())), rollout.EncodeRecords(ordered(b.Rollouts())))
+	return !bytes.Equal(rollout.EncodeRecords(withOrder(a.Rollouts())), rollout.EncodeRecords(withOrder(b.Rollouts())))
 }
 
-// ordered returns the records of services of which a rollout was ordered.
-func ordered(records []rollout.Record) []rollout.Record {
+// withOrder returns the records of services of which a rollout was ordered.
+func withOrder(records []rollout.Record) []rollout.Record {
 	var out []rollout.Record
 	for _, r := range records {
 		if r.Order() > 0 {
--- a/core/process/cluster/tokenowner.go
+++ b/core/process/cluster/tokenowner.go
@@ -30,8 +30,8 @@
 // TeamDecoder returns the teams in a document of routes.
 type TeamDecoder func(document []byte) ([]routing.Team, error)
 
-// tokenOwner grants the tokens of all quotas while this control VM is the leader. mu is
-// taken before no other lock.
+// tokenOwner grants the tokens of all quotas while this control VM is the leader. No other
+// lock is taken while mu is held.
 type tokenOwner struct {
 	control  *control.Control
 	settings quota.Settings
@@ -40,13 +40,15 @@
 
 	mu sync.Mutex
 	// owner is nil while this VM is not the leader.
-	owner    *quota.Owner
+	owner *quota.Owner
+	// teams are those of the routes with revision.
 	teams    []routing.Team
 	revision uint64
 	summary  tokenSummary
 	// ledSince is when this VM was first seen to lead in the term of the owner.
 	ledSince bootclock.Time
-	settled  bool
+	// settled is true once MarkSettled was called in the term of the owner.
+	settled bool
 }
 
 // tokenSummary counts what was granted since the last log line.
@@ -130,14 +132,14 @@
 		o.log.Info("this VM grants the tokens of quotas", zap.Uint64("term", l.Term()), zap.Bool("predecessor", exists),
 			zap.Duration("predecessor-since", age), zap.Int("teams", len(o.teams)))
 	}
-	o.settleIfDue()
+	o.markSettledIfDue()
 	return l
 }
 
-// settleIfDue records in the log once that this VM has led for a time, so that the next
+// markSettledIfDue records in the log once that this VM has led for a time, so that the next
 // owner need not wait for stocks of earlier ones even if all control VMs restart. The caller
 // holds mu.
-func (o *tokenOwner) settleIfDue() {
+func (o *tokenOwner) markSettledIfDue() {
 	if o.owner == nil || o.settled || len(o.teams) == 0 || bootclock.Now().Sub(o.ledSince) < control.SettledAge {
 		return
 	}
--- a/core/process/cluster/tokens_test.go
+++ b/core/process/cluster/tokens_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// leaderOf returns the name of the control VM that its own presence shows as the leader.
-func (in *installation) leaderOf() string {
+// leader returns the name of a control VM whose replica is the leader, or "" if none is.
+func (in *installation) leader() string {
 	for name, p := range in.processes {
 		if p.folder != "" && p.cluster.Leads() {
 			return name
@@ -86,7 +86,7 @@
 		go c.run(ctx)
 	}
 	time.Sleep(6 * time.Second)
-	leader := in.leaderOf()
+	leader := in.leader()
 	assert.Assert(t, strings.HasPrefix(leader, "control"), "no leader")
 	in.processes[leader].stop()
 	stoppedAt := time.Now()
@@ -167,7 +167,7 @@
 
 func (p *rawPeer) Closed(*session.Session, time.Time) {}
 
-// dialRun runs a dialer.
+// dialRun runs the dialer of a rawPeer.
 type dialRun struct{ dialer *session.Dialer }
 
 func (d *dialRun) run(ctx context.Context) { d.dialer.Run(ctx) }
@@ -177,7 +177,7 @@
 	in := newInstallation(t, 3, 0)
 	in.publishDocument("control-0", 1, []byte("rate 40 burst 20"))
 	in.waitForVersion(1)
-	leader := in.leaderOf()
+	leader := in.leader()
 	var other string
 	for name := range in.processes {
 		if name != leader {
--- a/core/process/cluster/unchanged_test.go
+++ b/core/process/cluster/unchanged_test.go
@@ -1,7 +1,6 @@
 package cluster_test
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -9,7 +8,6 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/mulberrydale/mulberrydale/core/connection/frame"
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 )
@@ -21,36 +19,29 @@
 		in := newInstallation(t, 3, 1)
 		in.publish("control-0", 1)
 		in.waitForVersion(1)
-		conn, err := net.Dial("tcp", in.processes["control-0"].address)
-		assert.NilError(t, err)
-		defer conn.Close()
-		presence := peer.Encode(peer.NewPresence("entry-9", "", "dc-1", "s", 1))
-		repeated := presence
+		presence := peer.NewPresence("entry-9", "", "dc-1", "s", 1)
+		var repeated peer.Message = presence
 		if understands {
-			repeated = peer.Encode(peer.NewUnchanged(0, 0))
+			repeated = peer.NewUnchanged(0, 0)
 		}
-		assert.NilError(t, frame.Write(conn, presence))
+		s := dialRaw(t, in.processes["control-0"].address, presence, 4*time.Second)
 		presences, unchanged := 0, 0
-		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(4*time.Second)))
 		for presences+unchanged < 6 {
-			payload, err := frame.Read(conn)
-			assert.NilError(t, err)
-			assert.NilError(t, frame.Write(conn, repeated))
-			m, err := peer.Decode(payload)
-			assert.NilError(t, err)
+			m, size := s.receive()
+			s.send(repeated)
 			switch m.(type) {
 			case peer.Presence:
 				presences++
 			case peer.Unchanged:
 				unchanged++
-				assert.Assert(t, len(payload) < 32, "%d bytes", len(payload))
+				assert.Assert(t, size < 32, "%d bytes", size)
 			}
 		}
 		assert.Equal(t, unchanged >= 3, understands, "%d presences, %d unchanged", presences, unchanged)
 		if !understands {
 			assert.Equal(t, unchanged, 0)
 		}
-		assert.Assert(t, conn.Close() == nil)
+		assert.Assert(t, s.conn.Close() == nil)
 	}
 }
 
