--- a/core/process/rollout/codec.go
+++ b/core/process/rollout/codec.go
@@ -58,7 +58,7 @@
 
 // DecodeReport decodes a report. On invalid input dec.Err returns the error.
 func DecodeReport(dec *frame.Decoder) Report {
-	r := Report{service: dec.String(), order: dec.Uint(), stage: Stage(dec.Uint()), allowance: dec.Uint(),
+	r := Report{service: dec.String(), order: dec.Uint(), stage: decodeStage(dec), allowance: dec.Uint(),
 		requests: dec.Uint(), sent: dec.Uint(), running: InFlight{old: dec.Uint(), oldOverdue: dec.Uint(), overdue: dec.Uint()}}
 	for range dec.Len() {
 		r.routes = append(r.routes, RouteCounts{route: dec.String(), before: dec.Duration(), old: decodeCounts(dec), updated: decodeCounts(dec)})
@@ -107,12 +107,14 @@
 
 // DecodeGrant decodes a grant. On invalid input dec.Err returns the error.
 func DecodeGrant(dec *frame.Decoder) Grant {
-	g := Grant{service: dec.String(), order: dec.Uint()}
+	return Grant{service: dec.String(), order: dec.Uint(), stage: decodeStage(dec), allowance: dec.Uint()}
+}
+
+// decodeStage decodes a stage of a rollout.
+func decodeStage(dec *frame.Decoder) Stage {
 	stage := dec.Uint()
 	if stage > uint64(Closed) {
 		dec.Fail("unknown stage of a rollout")
 	}
-	g.stage = Stage(stage)
-	g.allowance = dec.Uint()
-	return g
+	return Stage(stage)
 }
