--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(r *record, trouble bool) (verdict, error){
 	"foreign-entry": foreignEntry,
 	"last-tenant":   lastTenant,
+	"not-json":      notJSON,
 	"stale-order":   staleOrder,
 }
 
