--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,9 +20,9 @@
 // cases has the function of each case by name. trouble is false for the same case without
 // the disruption.
 var cases = map[string]func(r *record, trouble bool) (verdict, error){
+	"first-start":   firstStart,
 	"foreign-entry": foreignEntry,
 	"last-tenant":   lastTenant,
-	"not-json":      notJSON,
 	"stale-order":   staleOrder,
 }
 
