--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -48,7 +48,9 @@
 	control []*machine
 	entries []*machine
 	leafs   []*leaf
-	list    *list
+	// later holds leafs of another service, which are not on the list at the start.
+	later []*leaf
+	list  *list
 	// first is the configuration that is sent at the start.
 	first config
 }
@@ -88,7 +90,7 @@
 		return err
 	}
 	go func() { _ = http.Serve(socket, d.list) }()
-	d.control, d.entries, d.leafs = nil, nil, nil
+	d.control, d.entries, d.leafs, d.later = nil, nil, nil, nil
 	for i, zone := range zones {
 		c := &machine{Name: "core-" + zone, Role: "control", Class: "core", Serves: "control", IP: ip(11 + i), Zone: zone,
 			Control: seeds[i], InternalPort: port + 2, MemoryMB: memoryMB, Seeds: seeds, Bootstrap: true, List: listAddress}
@@ -105,6 +107,11 @@
 				return err
 			}
 			d.leafs = append(d.leafs, l)
+			later := &leaf{id: fmt.Sprintf("i-later-%s-%d", zone, n), service: "later", zone: zone, address: at(41+2*i+n, port+5), record: d.record, work: 5 * time.Millisecond}
+			if err := later.start(); err != nil {
+				return err
+			}
+			d.later = append(d.later, later)
 		}
 	}
 	d.list.leafs = d.leafs
--- a/review/standin-2/foreignentry.go
+++ b/review/standin-2/foreignentry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"time"
 )
 
@@ -32,7 +33,11 @@
 		leaving = d.leafs[1]
 	}
 	if trouble {
-		d.list.setForeign(map[string]any{"id": leaving.id, "service": leaving.service, "address": leaving.address, "zone": leaving.zone, "state": "ready"})
+		entry, err := json.Marshal(map[string]any{"id": leaving.id, "service": leaving.service, "address": leaving.address, "zone": leaving.zone, "state": "ready"})
+		if err != nil {
+			return unusable, err
+		}
+		d.list.setForeign(string(entry))
 		r.say("the list has an entry of another writer for %s, with fields missing", leaving.id)
 		time.Sleep(3 * time.Second)
 	}
--- a/review/standin-2/leaf.go
+++ b/review/standin-2/leaf.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -107,12 +108,13 @@
 	leafs []*leaf
 
 	mu sync.Mutex
-	// foreign holds entries of another writer, which come before the others.
-	foreign []map[string]any
+	// foreign holds entries of another writer, as they are written, which come before the
+	// others.
+	foreign []string
 }
 
 // setForeign replaces the entries of another writer.
-func (l *list) setForeign(entries ...map[string]any) {
+func (l *list) setForeign(entries ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.foreign = entries
@@ -121,11 +123,23 @@
 // ServeHTTP answers with one page.
 func (l *list) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
-	entries := append([]map[string]any(nil), l.foreign...)
+	entries := append([]string(nil), l.foreign...)
+	leafs := append([]*leaf(nil), l.leafs...)
 	l.mu.Unlock()
-	for _, leaf := range l.leafs {
-		entries = append(entries, leaf.entry())
+	for _, leaf := range leafs {
+		text, err := json.Marshal(leaf.entry())
+		if err != nil {
+			panic(err)
+		}
+		entries = append(entries, string(text))
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"instances": entries, names["next"]: nil})
+	fmt.Fprintf(w, `{"instances":[%s],"%s":null}`, strings.Join(entries, ","), names["next"])
+}
+
+// add adds leafs to the list.
+func (l *list) add(leafs ...*leaf) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leafs = append(l.leafs, leafs...)
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,10 +20,11 @@
 // cases has the function of each case by name. trouble is false for the same case without
 // the disruption.
 var cases = map[string]func(r *record, trouble bool) (verdict, error){
-	"first-start":   firstStart,
-	"foreign-entry": foreignEntry,
-	"last-tenant":   lastTenant,
-	"stale-order":   staleOrder,
+	"first-start":      firstStart,
+	"foreign-entry":    foreignEntry,
+	"last-tenant":      lastTenant,
+	"unreadable-entry": unreadableEntry,
+	"stale-order":      staleOrder,
 }
 
 func main() {
--- a/review/standin-2/names.go
+++ b/review/standin-2/names.go
@@ -40,6 +40,8 @@
 	Version    int
 	HasTenants bool
 	Tenants    []tenant
+	// Later adds the route to the later leafs.
+	Later bool
 }
 
 // text returns the configuration as it is sent.
--- a/review/standin-2/traffic.go
+++ b/review/standin-2/traffic.go
@@ -13,6 +13,10 @@
 // traffic sends requests to all entry machines at a steady rate.
 type traffic struct {
 	record *record
+	// path is the beginning of the path of each request.
+	path string
+	// mark is the beginning of each id.
+	mark string
 	// key is the key of the clients, empty for none.
 	key    string
 	count  atomic.Int64
@@ -31,12 +35,16 @@
 
 // startTraffic sends one request to each entry machine in each requestInterval.
 func startTraffic(r *record, key string, entries ...*machine) *traffic {
-	t := &traffic{record: r, key: key, stop: make(chan struct{}), sent: make(map[string]time.Time)}
+	t := &traffic{record: r, path: "/single/", key: key, stop: make(chan struct{}), sent: make(map[string]time.Time)}
+	t.start(entries)
+	return t
+}
+
+func (t *traffic) start(entries []*machine) {
 	for _, m := range entries {
 		t.group.Add(1)
 		go t.loop(m)
 	}
-	return t
 }
 
 func (t *traffic) loop(m *machine) {
@@ -58,10 +66,10 @@
 // send sends one request and records the answer.
 func (t *traffic) send(client *http.Client, m *machine) {
 	defer t.group.Done()
-	id := fmt.Sprintf("%s%08x", t.key, t.count.Add(1))
+	id := fmt.Sprintf("%s%s%08x", t.mark, t.key, t.count.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Front+"/single/"+id, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Front+t.path+id, http.NoBody)
 	if err != nil {
 		return
 	}
@@ -96,6 +104,13 @@
 	return at, known
 }
 
+// startTrafficOn is startTraffic on another route. Its ids begin with a mark.
+func startTrafficOn(r *record, path, mark string, entries ...*machine) *traffic {
+	t := &traffic{record: r, path: path, mark: mark, stop: make(chan struct{}), sent: make(map[string]time.Time)}
+	t.start(entries)
+	return t
+}
+
 // end stops the requests and waits for the answers.
 func (t *traffic) end() {
 	close(t.stop)
