--- a/review/standin-2/leaf.go
+++ b/review/standin-2/leaf.go
@@ -67,7 +67,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.leaving {
-		return names["draining"]
+		return names["state-leaving"]
 	}
 	return "ready"
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,6 +24,7 @@
 	"foreign-entry":    foreignEntry,
 	"last-tenant":      lastTenant,
 	"unreadable-entry": unreadableEntry,
+	"not-json":         notJSON,
 	"stale-order":      staleOrder,
 }
 
