orders: a delayed order is not carried out after a later one

Cause: a control VM that stood still read the first copy of an order when it went on, and the leader appended it after the orders that had been acknowledged meanwhile. An order carried nothing that shows its age.

An order now names its base, a position in the leader's log, and is appended only if no other order was appended after it. The base is learned before the VM asks the kernel whether the operator's connection is still open, so whatever the operator sends after it gave up comes after the base. Rollout orders had the same fault.

Ruled out: the check of the context alone (net/http learns of the closed connection in another goroutine; a VM can stand still after any check).

--- a/core/process/cluster/calls.go
+++ b/core/process/cluster/calls.go
@@ -68,6 +68,9 @@
 func (c *Cluster) retryWithLeader(ctx context.Context, attempt func(ctx context.Context, leader string) error) error {
 	err := result.New(result.NoQuorum, "no leader is known")
 	for {
+		if ctx.Err() != nil {
+			return err
+		}
 		if leader := c.leader(); leader != "" {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			err = attempt(callCtx, leader)
--- a/core/process/cluster/rollout.go
+++ b/core/process/cluster/rollout.go
@@ -86,31 +86,38 @@
 	}
 }
 
-// StartRollout submits the order of a rollout through the leader, as Submit does. The same
-// order may be sent more than once.
-func (c *Cluster) StartRollout(ctx context.Context, order replica.StartRollout) (replica.RolloutOutcome, error) {
-	return submit[replica.RolloutOutcome](ctx, c, order)
-}
-
 // HasTargets reports whether the target list of this VM has a target of a service.
 func (c *Cluster) HasTargets(service string) bool { return len(c.listedVersions()[service]) > 0 }
 
 // propose commits a command to the log if this VM is the leader. To the order of a rollout
 // it adds what only the leader knows.
 func (c *Cluster) propose(ctx context.Context, command replica.Command) (replica.Outcome, error) {
-	if order, ok := command.(replica.StartRollout); ok {
+	order, isOrder := command.(replica.Order)
+	inner := command
+	if isOrder {
+		inner = order.Command()
+	}
+	if start, ok := inner.(replica.StartRollout); ok {
 		if !c.controlVMsUnderstandRollouts(time.Now()) {
 			return nil, result.New(result.NoQuorum, "a control VM runs an earlier version of the program")
 		}
-		listed := c.listedVersions()[order.Service()]
-		c.rollouts.mu.Lock()
-		renewed := c.rollouts.controller != nil && c.rollouts.controller.MayRepeat(order.Service(), bootclock.Now())
-		c.rollouts.mu.Unlock()
-		command = order.WithLeaderView(listed, renewed)
+		command = c.withLeaderView(start)
+		if isOrder {
+			command = order.WithCommand(command)
+		}
 	}
 	return c.control.Propose(ctx, command)
 }
 
+// withLeaderView adds to the order of a rollout what only the leader knows.
+func (c *Cluster) withLeaderView(start replica.StartRollout) replica.StartRollout {
+	listed := c.listedVersions()[start.Service()]
+	c.rollouts.mu.Lock()
+	defer c.rollouts.mu.Unlock()
+	renewed := c.rollouts.controller != nil && c.rollouts.controller.MayRepeat(start.Service(), bootclock.Now())
+	return start.WithLeaderView(listed, renewed)
+}
+
 // listedVersions returns the versions of the targets in the list by service.
 func (c *Cluster) listedVersions() map[string][]string {
 	c.mu.Lock()
--- a/core/process/cluster/rollout_test.go
+++ b/core/process/cluster/rollout_test.go
@@ -86,7 +86,7 @@
 	assert.Equal(t, len(routes.Rollouts()), 0)
 
 	// Without recorded versions, those listed at the order are in use.
-	outcome, err := plain.StartRollout(ctx, replica.NewStartRollout("s", "v2", time.Minute))
+	outcome, err := plain.StartRollout(ctx, replica.NewStartRollout("s", "v2", time.Minute), alwaysWaiting)
 	assert.NilError(t, err)
 	assert.Equal(t, outcome.Code(), result.ChangeAccepted)
 	routes, err = plain.Read(ctx)
@@ -101,7 +101,7 @@
 	list := &fakeTargetList{}
 	list.setVersions("v1")
 	c, address := startLeader(t, list, rollout.DefaultBounds())
-	_, err := c.StartRollout(context.Background(), replica.NewStartRollout("s", "v2", time.Minute))
+	_, err := c.StartRollout(context.Background(), replica.NewStartRollout("s", "v2", time.Minute), alwaysWaiting)
 	assert.NilError(t, err)
 	for _, startID := range []string{"s", peer.MarkStartID("s")} {
 		s := dialRaw(t, address, peer.NewPresence("entry-9", "", "dc-1", startID, 0), 5*time.Second)
@@ -128,7 +128,7 @@
 	in.waitForVersion(1)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	_, err := in.processes["control-0"].cluster.StartRollout(ctx, replica.NewStartRollout("s", "v2", time.Minute))
+	_, err := in.processes["control-0"].cluster.StartRollout(ctx, replica.NewStartRollout("s", "v2", time.Minute), alwaysWaiting)
 	assert.NilError(t, err)
 	for n := range 3 {
 		vm := fmt.Sprintf("entry-%d", n)
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -95,18 +95,29 @@
 }
 
 // propose appends a command, with the current time, to the log. It rejects the
-// command if this replica is not the leader or can't write its journal.
+// command if this replica is not the leader or can't write its journal, and a stale
+// replica.Order with replica.OrderRejected.
 func (c *Control) propose(p proposal, now time.Time) {
 	if !c.journalFailedAt.IsZero() {
 		c.rejectProposal(p, result.New(result.JournalUnusable, "the journal of this VM is not writable"))
 		return
 	}
-	payload := replica.EncodeCommand(replica.WithAppendTime(p.command, now))
-	index, term, ok := c.node.Propose(payload)
+	command := replica.WithAppendTime(p.command, now)
+	if order, ok := command.(replica.Order); ok {
+		if c.node.Role() == replica.Leader && order.StaleAt(c.node.LastOrder()) {
+			c.answers = append(c.answers, proposalAnswer{reply: p.reply, result: proposalResult{outcome: replica.NewOrderRejected(c.node.LastOrder())}})
+			return
+		}
+		command = order.Command()
+	}
+	index, term, ok := c.node.Propose(replica.EncodeCommand(command))
 	if !ok {
 		c.rejectProposal(p, result.New(result.NoQuorum, "this VM is not the leader"))
 		return
 	}
+	if replica.IsOrder(command) {
+		c.node.RecordOrder(index)
+	}
 	p.term = term
 	c.pending[index] = p
 }
--- a/core/process/control/status.go
+++ b/core/process/control/status.go
@@ -48,6 +48,10 @@
 // Commit returns the index of the last committed entry.
 func (s Status) Commit() uint64 { return s.commit }
 
+// Position returns the position of the last entry that this VM knows to be committed, as
+// the base of a replica.Order.
+func (s Status) Position() replica.Position { return replica.NewPosition(s.term, s.commit) }
+
 // Voters returns the members that vote in elections and acknowledge entries.
 func (s Status) Voters() replica.Voters { return s.voters }
 
--- a/core/process/host/operator.go
+++ b/core/process/host/operator.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/intake"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/gateway"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
@@ -66,7 +67,9 @@
 		WriteError(w, http.StatusBadRequest, err)
 		return
 	}
-	a.submit(w, r, replica.NewPublishRoutes(table.Version(), text), "configuration "+strconv.FormatUint(table.Version(), 10))
+	a.submit(w, r, "configuration "+strconv.FormatUint(table.Version(), 10), func(ctx context.Context) (replica.RoutesOutcome, error) {
+		return a.cluster.Submit(ctx, replica.NewPublishRoutes(table.Version(), text))
+	})
 }
 
 // refuseBody answers a call whose body could not be read.
@@ -102,17 +105,27 @@
 	if out {
 		description = "data centre " + centre + " out of service"
 	}
-	a.submit(w, r, replica.NewSetOutOfService(centre, out), description)
+	a.submit(w, r, description, func(ctx context.Context) (replica.RoutesOutcome, error) {
+		return a.cluster.SetOutOfService(ctx, centre, out, waitsFor(r, bootclock.Now()))
+	})
 }
 
-// submit passes a command to the cluster and answers 200 if the replicated log
-// has committed it within operatorTimeout, even if it changed nothing, and 503
-// otherwise. The description is used in the log.
-func (a *OperatorAPI) submit(w http.ResponseWriter, r *http.Request, command replica.Command, description string) {
+// waitsFor returns a function that reports whether the operator of a call that began at a
+// time still waits for the answer. The time of a suspension counts.
+func waitsFor(r *http.Request, began bootclock.Time) func() bool {
+	return func() bool {
+		return bootclock.Now().Sub(began) < operatorTimeout && !intake.CallerLeft(r)
+	}
+}
+
+// submit calls a function that passes a command to the cluster and answers 200 if the
+// replicated log has committed it within operatorTimeout, even if it changed nothing, and
+// 503 otherwise. The description is used in the log.
+func (a *OperatorAPI) submit(w http.ResponseWriter, r *http.Request, description string, commit func(ctx context.Context) (replica.RoutesOutcome, error)) {
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
 	defer cancel()
 	began := time.Now()
-	outcome, err := a.cluster.Submit(ctx, command)
+	outcome, err := commit(ctx)
 	took := time.Since(began)
 	if err != nil {
 		a.log.Warn("change not acknowledged", zap.String("change", description), zap.Duration("took", took), logsink.Cause(err))
--- a/core/process/host/rollout.go
+++ b/core/process/host/rollout.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/gateway"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
@@ -48,6 +49,7 @@
 // is empty or the duration not positive; 409 while another rollout of the service runs;
 // and 503 if no quorum has acknowledged it within operatorTimeout.
 func (a *OperatorAPI) StartRollout(w http.ResponseWriter, r *http.Request, order RolloutOrder) {
+	arrived := bootclock.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
 	defer cancel()
 	if err := a.checkOrder(ctx, order); err != nil {
@@ -56,7 +58,7 @@
 		return
 	}
 	began := time.Now()
-	outcome, err := a.cluster.StartRollout(ctx, replica.NewStartRollout(order.service, order.version, order.duration))
+	outcome, err := a.cluster.StartRollout(ctx, replica.NewStartRollout(order.service, order.version, order.duration), waitsFor(r, arrived))
 	fields := []zap.Field{zap.String("service", order.service), zap.String("version", order.version), zap.Duration("duration", order.duration), zap.Duration("took", time.Since(began))}
 	if err != nil {
 		a.log.Warn("rollout not acknowledged", append(fields, logsink.Cause(err))...)
--- a/core/process/replica/command.go
+++ b/core/process/replica/command.go
@@ -9,7 +9,8 @@
 
 // Command is a state machine command that the log replicates:
 // ReplaceConfiguration, SetDataCentre, Claim, Settle, PublishRoutes,
-// SetOutOfService, RecordVersions, StartRollout, EndRollout or StateElapsed.
+// SetOutOfService, RecordVersions, StartRollout, EndRollout or StateElapsed. An Order
+// is a command only on the way to the leader.
 type Command interface{ command() }
 
 // ChangeMetadata describes a configuration change: its id, author, reason and
@@ -119,12 +120,15 @@
 	case EndRollout:
 		c.appendedAt = at
 		return c
+	case Order:
+		c.inner = WithAppendTime(c.inner, at)
+		return c
 	}
 	return c
 }
 
-// Outcome is the result of a command: ChangeOutcome, ClaimOutcome, RoutesOutcome or
-// RolloutOutcome.
+// Outcome is the result of a command: ChangeOutcome, ClaimOutcome, RoutesOutcome,
+// RolloutOutcome or OrderRejected.
 type Outcome interface{ outcome() }
 
 // ChangeOutcome is the result of a configuration change.
--- a/core/process/replica/election.go
+++ b/core/process/replica/election.go
@@ -162,5 +162,6 @@
 	} else {
 		n.appendEntry(NoOp, nil, Voters{})
 	}
+	n.lastOrder = n.log.lastIndex()
 	n.tickLeader(now)
 }
--- a/core/process/replica/node.go
+++ b/core/process/replica/node.go
@@ -110,7 +110,9 @@
 	heartbeatAt time.Time
 	// leaderSince is the time at which this replica last became the leader.
 	leaderSince time.Time
-	history     leaderHistory
+	// lastOrder is described at LastOrder. Only a leader uses it.
+	lastOrder uint64
+	history   leaderHistory
 	// votes holds the votes granted to this replica in the current phase of its
 	// election.
 	votes map[ID]bool
--- a/core/process/replica/statecodec.go
+++ b/core/process/replica/statecodec.go
@@ -29,6 +29,8 @@
 	wireEndRollout
 	wireStateElapsed
 	wireRolloutOutcome
+	wireOrder
+	wireOrderRejected
 )
 
 // EncodeCommand encodes a command for the log.
@@ -68,6 +70,8 @@
 		enc.Time(c.appendedAt)
 	case RecordVersions, StartRollout, EndRollout, StateElapsed:
 		encodeRolloutCommand(enc, c)
+	case Order:
+		encodeOrder(enc, c)
 	}
 	return enc.Payload()
 }
@@ -98,6 +102,8 @@
 		command = decodeEndRollout(dec)
 	case wireStateElapsed:
 		command = decodeStateElapsed(dec)
+	case wireOrder:
+		command = decodeOrder(dec)
 	default:
 		dec.Fail("unknown command type")
 	}
@@ -146,6 +152,9 @@
 		enc.Uint(wireRolloutOutcome)
 		enc.Int(int64(o.code))
 		enc.Uint(o.revision)
+	case OrderRejected:
+		enc.Uint(wireOrderRejected)
+		encodePosition(enc, o.base)
 	}
 	return enc.Payload()
 }
@@ -172,6 +181,8 @@
 		outcome = RoutesOutcome{revision: dec.Uint(), version: dec.Uint()}
 	case wireRolloutOutcome:
 		outcome = decodeRolloutOutcome(dec)
+	case wireOrderRejected:
+		outcome = OrderRejected{base: decodePosition(dec)}
 	default:
 		dec.Fail("unknown outcome type")
 	}
--- a/core/result/code.go
+++ b/core/result/code.go
@@ -89,6 +89,7 @@
 	NotInForce           Code = 606
 	ChangeUnknown        Code = 607
 	NotConfirmed         Code = 608
+	OrderAbandoned       Code = 609
 
 	FrameTooLarge  Code = 700
 	FrameMalformed Code = 701
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -57,6 +57,7 @@
 	{NotInForce, "not-in-force", "the wait ended before the version was in force everywhere"},
 	{ChangeUnknown, "change-unknown", "the outcome of the change is not known; send it again with its id"},
 	{NotConfirmed, "not-confirmed", "some VMs have not confirmed the version"},
+	{OrderAbandoned, "order-abandoned", "the operator no longer waits for the outcome of its order, which is not passed on"},
 
 	{FrameTooLarge, "frame-too-large", "a frame is longer than the limit"},
 	{FrameMalformed, "frame-malformed", "a frame could not be decoded"},
