teams: an empty list of teams accepts no key

Cause: a table had teams if it had at least one, so that an empty list meant the same as no list; the platform's decoder read null as no list.

A table now says whether it declares teams.

Three tests that used a table with an empty list for one without teams now use the latter.

Ruled out: late publication.

--- a/core/process/dispatch/authenticate.go
+++ b/core/process/dispatch/authenticate.go
@@ -53,7 +53,7 @@
 // revocation is not strict. A key that is not known is refused for good only if the table is
 // certain to be the newest, since a newer one may hold it.
 func decideAccess(table *routing.Table, route routing.Route, key relay.Credential, strict bool, t trust) (team routing.Team, hasTeam bool, decision access) {
-	if !table.HasTeams() {
+	if !table.DeclaresTeams() {
 		return routing.Team{}, false, accessGranted
 	}
 	if digest, usable := key.Digest(); usable {
@@ -116,7 +116,7 @@
 
 // identityOf returns what targets learn about the team of a request under a table.
 func identityOf(table *routing.Table, req *relay.Request) relay.Identity {
-	if !table.HasTeams() {
+	if !table.DeclaresTeams() {
 		return relay.Identity{}
 	}
 	team, _ := req.Team()
@@ -139,7 +139,7 @@
 // its team.
 func (q *query) check() {
 	d := q.dispatcher
-	if !q.identity.HidesKey() && !d.table.Load().HasTeams() {
+	if !q.identity.HidesKey() && !d.table.Load().DeclaresTeams() {
 		return
 	}
 	now := bootclock.Now()
--- a/core/process/dispatch/authenticate_test.go
+++ b/core/process/dispatch/authenticate_test.go
@@ -18,16 +18,22 @@
 	"github.com/mulberrydale/mulberrydale/core/version/routing"
 )
 
+// teamTable returns a table that declares a team for each key.
 func teamTable(keys ...string) *routing.Table {
-	route := routing.NewRoute("r", "h", "/").WithTimeoutAndObjective(time.Second, 400*time.Millisecond).WithMaxAttempts(3).
-		WithSplit([]routing.WeightedService{routing.NewWeightedService("s-1", 1)})
-	public := routing.NewRoute("p", "h", "/public").WithTimeoutAndObjective(time.Second, 400*time.Millisecond).WithPublic(true).
-		WithSplit([]routing.WeightedService{routing.NewWeightedService("s-1", 1)})
 	var teams []routing.Team
 	for n, key := range keys {
 		teams = append(teams, routing.NewTeam("team-"+key, []routing.KeyDigest{routing.DigestKey(key)}, n))
 	}
-	return routing.NewTable(1, []routing.Route{route, public}, []routing.Service{routing.NewService("s-1", "").WithMaxConnections(1)}, routing.Limits{}).WithTeams(teams)
+	return tableWithoutTeams().WithTeams(teams)
+}
+
+// tableWithoutTeams returns a table that does not declare teams.
+func tableWithoutTeams() *routing.Table {
+	route := routing.NewRoute("r", "h", "/").WithTimeoutAndObjective(time.Second, 400*time.Millisecond).WithMaxAttempts(3).
+		WithSplit([]routing.WeightedService{routing.NewWeightedService("s-1", 1)})
+	public := routing.NewRoute("p", "h", "/public").WithTimeoutAndObjective(time.Second, 400*time.Millisecond).WithPublic(true).
+		WithSplit([]routing.WeightedService{routing.NewWeightedService("s-1", 1)})
+	return routing.NewTable(1, []routing.Route{route, public}, []routing.Service{routing.NewService("s-1", "").WithMaxConnections(1)}, routing.Limits{})
 }
 
 // Whatever the confirmation says, a request must run only with a key that the table holds or
@@ -65,7 +71,7 @@
 			assert.Equal(t, decision, tt.want)
 			assert.Equal(t, team.Name(), tt.team)
 			assert.Equal(t, hasTeam, tt.team != "")
-			_, _, decision = decideAccess(teamTable(), route, tt.key, tt.strict, tt.trust)
+			_, _, decision = decideAccess(tableWithoutTeams(), route, tt.key, tt.strict, tt.trust)
 			assert.Equal(t, decision, accessGranted, "a table without teams refused a request")
 		})
 	}
@@ -154,6 +160,7 @@
 		code   result.Code
 	}{
 		{"key taken away", func(d *Dispatcher) { d.SetTable(teamTable("other")) }, result.UnknownTeam},
+		{"last team taken away", func(d *Dispatcher) { d.SetTable(teamTable()) }, result.UnknownTeam},
 		{"confirmation expired", func(d *Dispatcher) { d.confirmation.SetWithin(0) }, result.Unconfirmed},
 	}
 	attempts := []struct {
@@ -237,6 +244,42 @@
 	})
 }
 
+// When the last team is taken away, no key is left that a request could have. A table with
+// an empty list of teams must close the routes that need a key, also for what waits already.
+func TestNoRequestRunsOnceTheLastTeamIsGone(t *testing.T) {
+	route, _ := teamTable().Match("h", "/")
+	for _, key := range []relay.Credential{relay.ReadCredential([]string{"k"}), relay.ReadCredential(nil)} {
+		_, _, decision := decideAccess(teamTable(), route, key, true, trust{confirmed: true, certain: true})
+		assert.Equal(t, decision, accessUnknown)
+		_, _, decision = decideAccess(teamTable(), route, key, false, trust{})
+		assert.Equal(t, decision, accessUnconfirmed)
+	}
+	public, _ := teamTable().Match("h", "/public")
+	_, _, decision := decideAccess(teamTable(), public, relay.ReadCredential(nil), true, trust{})
+	assert.Equal(t, decision, accessGranted)
+
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedSender{atSend: func(int) relay.Outcome {
+			time.Sleep(80 * time.Millisecond)
+			return success
+		}}
+		d := teamDispatcher(s, teamTable("k"), "i-1")
+		go (&answering{dispatcher: d, key: "k"}).run()
+		synctest.Wait()
+		second := &answering{dispatcher: d, key: "k"}
+		go second.run()
+		synctest.Wait()
+		d.SetTable(teamTable())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		refused, ok := second.answer.(relay.Refused)
+		assert.Assert(t, ok, "the request was not refused")
+		assert.Equal(t, refused.Code(), result.UnknownTeam)
+		assert.Equal(t, s.count(), 1)
+		assert.Assert(t, identityOf(teamTable(), teamRequest("k")).HidesKey())
+	})
+}
+
 // answering is a request that is answered in the background.
 type answering struct {
 	dispatcher *Dispatcher
@@ -257,7 +300,7 @@
 				time.Sleep(80 * time.Millisecond)
 				return success
 			}}
-			d := teamDispatcher(s, teamTable(), "i-1")
+			d := teamDispatcher(s, tableWithoutTeams(), "i-1")
 			go (&answering{dispatcher: d, key: "k"}).run()
 			synctest.Wait()
 			second := &answering{dispatcher: d, key: key}
--- a/core/process/dispatch/dispatcher.go
+++ b/core/process/dispatch/dispatcher.go
@@ -168,7 +168,7 @@
 		return relay.NewRefused(result.UnknownQuery, "no route matches the host and path"), trace
 	}
 	trace.route = route.Name()
-	if table.HasTeams() {
+	if table.DeclaresTeams() {
 		if refusal, refused := d.authenticate(route, req, bootclock.Now()); refused {
 			return refusal, trace
 		}
--- a/core/process/dispatch/query.go
+++ b/core/process/dispatch/query.go
@@ -71,7 +71,7 @@
 		latest:     make([]*subRequest, parts),
 		trace:      trace,
 		identity:   identityOf(table, req),
-		allOrNone:  table.HasTeams() && len(plan.Route().Shards()) > 0,
+		allOrNone:  table.DeclaresTeams() && len(plan.Route().Shards()) > 0,
 	}
 }
 
--- a/core/process/dispatch/team.go
+++ b/core/process/dispatch/team.go
@@ -18,7 +18,7 @@
 // recordDemand counts what a request needs towards the usual demand of its team, if the
 // table has teams. Requests beyond the quota of their team do not count.
 func (d *Dispatcher) recordDemand(table *routing.Table, plan relay.Plan, req *relay.Request) {
-	if table.HasTeams() {
+	if table.DeclaresTeams() {
 		d.fleet.RecordDemand(teamName(req), len(plan.Services()), req.Arrived())
 	}
 }
--- a/core/process/dispatch/team_test.go
+++ b/core/process/dispatch/team_test.go
@@ -51,7 +51,11 @@
 			sender := &countingSender{}
 			d := New(f, sender)
 			route := routing.NewRoute("search", "h", "/").WithTimeoutAndObjective(200*time.Millisecond, 100*time.Millisecond).WithShards(names, 1, 1)
-			d.SetTable(routing.NewTable(1, []routing.Route{route}, services, routing.Limits{}).WithTeams(tt.teams))
+			table := routing.NewTable(1, []routing.Route{route}, services, routing.Limits{})
+			if tt.teams != nil {
+				table = table.WithTeams(tt.teams)
+			}
+			d.SetTable(table)
 			f.SetTargets(discovery.NewList(instances, 1, now), now)
 			// The targets of one shard are busy for a second already.
 			occupy(f, names[0], "search", now.Add(-time.Second))
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -151,7 +151,7 @@
 		return
 	}
 	if t := e.dispatcher.Table(); t != nil && t.Version() >= routes.Version() {
-		e.confirmation.PutInForce(routes.Revision(), t.HasTeams())
+		e.confirmation.PutInForce(routes.Revision(), t.DeclaresTeams())
 		return
 	}
 	t, err := e.decodeRoutes(routes.Document())
@@ -160,7 +160,7 @@
 		return
 	}
 	e.dispatcher.SetTable(t)
-	e.confirmation.PutInForce(routes.Revision(), t.HasTeams())
+	e.confirmation.PutInForce(routes.Revision(), t.DeclaresTeams())
 	if e.intake != nil {
 		e.intake.SetLimits(intake.NewLimits(t.Limits().HeaderBytes(), t.Limits().HeaderTimeout()))
 	}
--- a/core/version/routing/routing_test.go
+++ b/core/version/routing/routing_test.go
@@ -127,5 +127,5 @@
 	assert.Equal(t, team.Name(), "a")
 	_, ok = table.TeamOf(routing.DigestKey("K-2"))
 	assert.Assert(t, !ok)
-	assert.Assert(t, !newTable().HasTeams())
+	assert.Assert(t, !newTable().DeclaresTeams())
 }
--- a/core/version/routing/table.go
+++ b/core/version/routing/table.go
@@ -13,7 +13,9 @@
 	limits   Limits
 	// byHost holds the routes of each hostKey, longest prefix first.
 	byHost map[string][]Route
-	teams  []Team
+	// declaresTeams is set also if teams is empty.
+	declaresTeams bool
+	teams         []Team
 	// teamByKey holds the index in teams of the team that holds a key.
 	teamByKey map[KeyDigest]int
 	// leastPriority is described at LeastPriority.
--- a/core/version/routing/team.go
+++ b/core/version/routing/team.go
@@ -60,10 +60,12 @@
 // HasQuota reports whether the number of the team's requests is limited.
 func (t Team) HasQuota() bool { return t.rate > 0 }
 
-// WithTeams returns a copy of the table with teams. If there are any, requests on routes
-// that are not public need the key of a team.
+// WithTeams returns a copy of the table that declares teams, possibly none. Requests on
+// routes that are not public then need the key of a team: without a team there is no key
+// that they could have.
 func (t *Table) WithTeams(teams []Team) *Table {
 	out := *t
+	out.declaresTeams = true
 	out.teams = teams
 	out.teamByKey = make(map[KeyDigest]int)
 	out.leastPriority = 0
@@ -79,8 +81,9 @@
 // Teams returns the teams in the order in which the operator declared them.
 func (t *Table) Teams() []Team { return t.teams }
 
-// HasTeams reports whether the table has teams.
-func (t *Table) HasTeams() bool { return len(t.teams) > 0 }
+// DeclaresTeams reports whether the table declares teams. The last of them may have been
+// taken away; a table that does not know teams is another thing.
+func (t *Table) DeclaresTeams() bool { return t.declaresTeams }
 
 // LeastPriority returns the priority of the least urgent team, 0 without teams. It is that of
 // requests on public routes without a known key, which must not go before those of a team.
--- a/mulberrydale/routes/document.go
+++ b/mulberrydale/routes/document.go
@@ -49,12 +49,14 @@
 		services = append(services, decodeService(o))
 	}
 	limits := decodeLimits(root)
-	teams := decodeTeams(doc, root)
+	t := routing.NewTable(uint64(version), routes, services, limits)
+	if root.Has("teams") {
+		t = t.WithTeams(decodeTeams(doc, root))
+	}
 	root.ReportUnknownKeys()
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
-	t := routing.NewTable(uint64(version), routes, services, limits).WithTeams(teams)
 	return t, t.Check()
 }
 
@@ -95,9 +97,6 @@
 
 // decodeTeams decodes the teams, whose keys don't appear in faults.
 func decodeTeams(doc *document.Document, root *document.Object) []routing.Team {
-	if !root.Has("teams") {
-		return nil
-	}
 	doc.HideValues(root.Path() + "/teams")
 	var teams []routing.Team
 	for _, o := range root.Objects("teams") {
--- a/mulberrydale/routes/document_test.go
+++ b/mulberrydale/routes/document_test.go
@@ -69,7 +69,17 @@
 	assert.Assert(t, !round.Public())
 	table, err = Decode([]byte(validDocument))
 	assert.NilError(t, err)
-	assert.Assert(t, !table.HasTeams())
+	assert.Assert(t, !table.DeclaresTeams())
+}
+
+// A document from which the last team was taken away must not open the routes: an empty list
+// of teams is not the absence of teams, and null is no list.
+func TestLastTeamTakenAway(t *testing.T) {
+	table, err := Decode([]byte(strings.Replace(validDocument, `"limits"`, `"teams": [], "limits"`, 1)))
+	assert.NilError(t, err)
+	assert.Assert(t, table.DeclaresTeams())
+	_, err = Decode([]byte(strings.Replace(validDocument, `"limits"`, `"teams": null, "limits"`, 1)))
+	assert.Equal(t, result.CodeOf(err), result.WrongType, "%v", err)
 }
 
 // A fault in the teams must be found, and its message, which is logged, must not show a key.
