exchange: what targets send is charged to the memory for callers

Reported by operators of a similar system: a faulty target sent without end, the machine ran out of memory and other requests ended with it.

It can happen here: with 30 callers and a memory of 64 MB a process reached 68 MB (header lines), 112, 145, 190 MB (a success by length, until close, in chunks) and 315 and 382 MB (failures).

Cause: each response was bounded, the sum of them was not.

What is read of a response beyond 8 KB of head and 4 KB of body is now charged to its request before it is kept, at most half of the memory of the callers' listener in all. A body that may be streamed is passed on from where memory ends; a part or a failure is lost. The charge ends with the request, so that what a caller still reads is counted.

Ruled out: the streamed rest of a body.

--- a/core/connection/intake/body.go
+++ b/core/connection/intake/body.go
@@ -28,7 +28,9 @@
 	limiter *Limiter
 	conn    *Conn
 	use     *addressUse
-	bytes   int64
+	// bytes is everything that is charged, responses what is charged for responses.
+	bytes     int64
+	responses int64
 }
 
 // takeRequest moves what is charged for the head of the running request from its
@@ -66,6 +68,41 @@
 	return true
 }
 
+// GrowForResponse charges bytes of a response to the request and reports whether there was
+// room for them. Responses leave room for new requests, and close no connections of callers.
+func (c *Charge) GrowForResponse(n int64) bool {
+	if c == nil {
+		return true
+	}
+	l := c.limiter
+	l.mu.Lock()
+	defer l.unlock()
+	if c.conn.removed {
+		return false
+	}
+	if l.responses+n > int64(responseShare*float64(l.maxBytes)) || l.bytes+n > l.maxBytes {
+		l.counts.refusedMemory++
+		return false
+	}
+	l.add(c.use, n)
+	l.responses += n
+	c.bytes += n
+	c.responses += n
+	return true
+}
+
+// ShrinkForResponse releases bytes that GrowForResponse has charged.
+func (c *Charge) ShrinkForResponse(n int64) {
+	if c == nil {
+		return
+	}
+	c.limiter.mu.Lock()
+	c.limiter.responses -= n
+	c.responses -= n
+	c.limiter.mu.Unlock()
+	c.shrink(n)
+}
+
 // shrink releases bytes.
 func (c *Charge) shrink(n int64) {
 	if c == nil {
@@ -82,6 +119,7 @@
 // kept any more.
 func (c *Charge) Release() {
 	if c != nil {
+		c.ShrinkForResponse(c.responses)
 		c.shrink(c.bytes)
 	}
 }
--- a/core/connection/intake/limit_test.go
+++ b/core/connection/intake/limit_test.go
@@ -272,3 +272,36 @@
 		})
 	}
 }
+
+// Responses of targets must leave half of the memory to requests, and what is charged for
+// them must be released with the request.
+func TestResponsesLeaveRoomForRequests(t *testing.T) {
+	const limit = 1 << 20
+	l := intake.NewLimiter(100, limit)
+	granted := make(chan bool, 8)
+	server := newServer(t, l, func(w http.ResponseWriter, r *http.Request) {
+		_, charge, err := intake.ReadBody(r, limit)
+		if err != nil {
+			granted <- false
+			return
+		}
+		defer charge.Release()
+		granted <- charge.GrowForResponse(limit / 4)
+		granted <- charge.GrowForResponse(limit / 4)
+		granted <- charge.GrowForResponse(1)
+		charge.ShrinkForResponse(limit / 4)
+		granted <- charge.GrowForResponse(1)
+	})
+	for range 2 {
+		conn := dial(t, server)
+		write(t, conn, get)
+		status, _ := readResponse(t, bufio.NewReader(conn))
+		assert.Equal(t, status, http.StatusOK)
+		for _, want := range []bool{true, true, false, true} {
+			assert.Equal(t, <-granted, want)
+		}
+	}
+	var none *intake.Charge
+	assert.Assert(t, none.GrowForResponse(limit), "a request without a limiter has no limit")
+	none.ShrinkForResponse(limit)
+}
--- a/core/connection/intake/limiter.go
+++ b/core/connection/intake/limiter.go
@@ -12,6 +12,10 @@
 // use. It is large, since a load balancer may be the only address.
 const addressShare = 0.75
 
+// responseShare is the share of the memory that may be charged for responses of targets. The
+// rest is for requests.
+const responseShare = 0.5
+
 // addressUse is what the callers at one address use.
 type addressUse struct {
 	address netip.Addr
@@ -26,8 +30,10 @@
 	maxConns, maxAddressConns int
 	limits                    atomic.Pointer[Limits]
 
-	mu        sync.Mutex
-	bytes     int64
+	mu    sync.Mutex
+	bytes int64
+	// responses is the part of bytes that is charged for responses of targets.
+	responses int64
 	conns     int
 	addresses map[netip.Addr]*addressUse
 	// unfinished holds the connections whose head or body has not arrived, oldest first;
--- a/core/connection/upstream/upstream.go
+++ b/core/connection/upstream/upstream.go
@@ -38,8 +38,9 @@
 type limitedInput struct {
 	conn net.Conn
 	// remaining is the number of bytes that may still be read, negative for no
-	// limit.
+	// limit. more returns how many more may be read once it is 0.
 	remaining int
+	more      func() int
 }
 
 // Read implements io.Reader.
@@ -48,7 +49,9 @@
 		return i.conn.Read(p)
 	}
 	if i.remaining == 0 {
-		return 0, errInputLimit
+		if i.remaining = max(0, i.more()); i.remaining == 0 {
+			return 0, errInputLimit
+		}
 	}
 	n, err := i.conn.Read(p[:min(len(p), i.remaining)])
 	i.remaining -= n
@@ -79,8 +82,12 @@
 // Reader returns the buffered reader of the connection.
 func (c *Conn) Reader() *bufio.Reader { return c.reader }
 
-// LimitInput makes reads fail after n more bytes have been read from the network.
-func (c *Conn) LimitInput(n int) { c.input.remaining = n }
+// LimitInput makes reads fail after n more bytes have been read from the network, unless
+// more, which is called then, returns how many may follow.
+func (c *Conn) LimitInput(n int, more func() int) {
+	c.input.remaining = n
+	c.input.more = more
+}
 
 // UnlimitInput removes the limit that LimitInput set.
 func (c *Conn) UnlimitInput() { c.input.remaining = -1 }
--- a/core/process/gateway/gateway.go
+++ b/core/process/gateway/gateway.go
@@ -109,6 +109,7 @@
 	}
 	req := relay.NewRequest(id, r.Method, r.Host, r.RequestURI, r.URL.EscapedPath(), exchange.EndToEnd(r.Header), body, arrived).
 		WithRelease(charge.Release).
+		WithMemory(charge).
 		WithCredential(relay.ReadCredential(r.Header[g.names.Key()]))
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.names.Deadline()), 64); err == nil && ms > 0 && ms < maxDeadlineMillis {
 		req = req.WithTimeout(time.Duration(ms * float64(time.Millisecond)))
--- a/core/process/gateway/intake_test.go
+++ b/core/process/gateway/intake_test.go
@@ -85,3 +85,23 @@
 		return poll.Success()
 	}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(5*time.Second))
 }
+
+// A response for which there is no memory must be passed on as it comes, whole, and whatever
+// was charged for it released.
+func TestLongResponseWithoutMemoryIsPassedOn(t *testing.T) {
+	const bodyBytes = 1 << 20
+	target := newLeafServer(t, reply(200, signatureHeader, strings.Repeat("b", bodyBytes)))
+	for _, memory := range []int64{200 << 10, 8 << 20} {
+		l := intake.NewLimiter(100, memory)
+		address := newLimitedServer(t, l, routeTable(routing.NonIdempotent), target.instance("i-1", "s-1"))
+		res, text := post(t, address, "body")
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+		assert.Equal(t, len(text), bodyBytes)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if _, bytes := l.Use(); bytes != 0 {
+				return poll.Continue("%d bytes", bytes)
+			}
+			return poll.Success()
+		}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(5*time.Second))
+	}
+}
--- a/core/request/relay/request.go
+++ b/core/request/relay/request.go
@@ -36,6 +36,17 @@
 	// released it too. release, which may be nil, is called then.
 	holders atomic.Int64
 	release func()
+	// memory is nil without a limit.
+	memory Memory
+}
+
+// Memory is what the memory for the responses to a request is taken from. What was taken and
+// not given back is released together with the request.
+type Memory interface {
+	// GrowForResponse takes bytes and reports whether there was room for them.
+	GrowForResponse(n int64) bool
+	// ShrinkForResponse gives back bytes that were taken.
+	ShrinkForResponse(n int64)
 }
 
 // NewRequest returns a request that arrived at the given time. The path selects
@@ -89,6 +100,25 @@
 	return r
 }
 
+// WithMemory sets what the memory for responses is taken from. It changes r and returns it.
+func (r *Request) WithMemory(m Memory) *Request {
+	r.memory = m
+	return r
+}
+
+// ReserveResponse takes memory for a response and reports whether there was room for it.
+func (r *Request) ReserveResponse(n int64) bool {
+	return r.memory == nil || r.memory.GrowForResponse(n)
+}
+
+// ReleaseResponse gives back memory that ReserveResponse has taken, once nothing keeps what
+// it was taken for.
+func (r *Request) ReleaseResponse(n int64) {
+	if r.memory != nil && n > 0 {
+		r.memory.ShrinkForResponse(n)
+	}
+}
+
 // Retain records that an attempt keeps the request.
 func (r *Request) Retain() { r.holders.Add(1) }
 
--- a/mulberrydale/untrusted/installation_test.go
+++ b/mulberrydale/untrusted/installation_test.go
@@ -45,11 +45,18 @@
 	t.Helper()
 	leafs := httptest.NewServer(http.HandlerFunc(answerAsLeaf))
 	t.Cleanup(leafs.Close)
+	address := strings.TrimPrefix(leafs.URL, "http://")
+	return newInstallationOf(t, document, []string{address, address})
+}
+
+// newInstallationOf starts a control VM with a document of routes. The services s-1, s-2 and
+// so on have a target each, at the given addresses.
+func newInstallationOf(t *testing.T, document string, leafs []string) *installation {
+	t.Helper()
 	targets := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		var entries []string
-		for n := 1; n <= 2; n++ {
-			entries = append(entries, fmt.Sprintf(`{"id": "i-%d", "service": "s-%d", "address": %q, "data-centre": "d-1", "slots": 50}`,
-				n, n, strings.TrimPrefix(leafs.URL, "http://")))
+		for n, address := range leafs {
+			entries = append(entries, fmt.Sprintf(`{"id": "i-%d", "service": "s-%d", "address": %q, "data-centre": "d-1", "slots": 50}`, n+1, n+1, address))
 		}
 		_, _ = io.WriteString(w, `{"targets": [`+strings.Join(entries, ",")+`]}`)
 	}))
