--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -165,6 +165,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return open(j, records, vm, configuredVMs, wantedVoters, sender, peers, log, now)
+}
+
+// open is Open for a journal that is open already, with its records.
+func open(j *journal.Journal, records [][]byte, vm string, configuredVMs []string, wantedVoters int, sender Sender, peers Peers, log *zap.Logger, now time.Time) (*Control, error) {
 	id, persisted, err := replayJournal(records)
 	if err != nil {
 		return nil, err
--- a/core/process/control/paused_test.go
+++ b/core/process/control/paused_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mulberrydale/mulberrydale/core/process/journal"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 )
 
@@ -47,10 +49,20 @@
 
 // newNetwork opens three control VMs.
 func newNetwork(t *testing.T) *network {
-	n := &network{clock: newMonotonicClock(), names: []string{"vm-1", "vm-2", "vm-3"}, vms: make(map[string]*Control), queues: make(map[string][]delivery)}
-	for _, name := range n.names {
+	return newNetworkOf(t, 3, 3, func(string) journal.Disk { return journal.SystemDisk() })
+}
+
+// newNetworkOf opens a number of control VMs, of which some become voters. diskOf returns the
+// disk of a VM.
+func newNetworkOf(t *testing.T, vms, voters int, diskOf func(name string) journal.Disk) *network {
+	n := &network{clock: newMonotonicClock(), vms: make(map[string]*Control), queues: make(map[string][]delivery)}
+	for i := range vms {
+		name := fmt.Sprintf("vm-%d", i+1)
+		n.names = append(n.names, name)
 		port := &networkPort{network: n, name: name}
-		c, err := Open(t.TempDir(), name, nil, 3, port, port, zap.NewNop(), n.clock.now())
+		j, records, err := journal.OpenOn(diskOf(name), t.TempDir())
+		assert.NilError(t, err)
+		c, err := open(j, records, name, nil, voters, port, port, zap.NewNop(), n.clock.now())
 		assert.NilError(t, err)
 		n.vms[name] = c
 	}
--- a/core/process/journal/journal.go
+++ b/core/process/journal/journal.go
@@ -29,13 +29,35 @@
 	maxRecordBytes = math.MaxUint32
 )
 
+// Disk is what a journal writes with. Any of its methods may fail while the disk is full.
+type Disk interface {
+	// Write writes at the position of a file.
+	Write(file *os.File, data []byte) (int, error)
+	// Sync syncs a file.
+	Sync(file *os.File) error
+	// Rename replaces a file by another one.
+	Rename(from, to string) error
+	// SyncFolder syncs the entries of a folder.
+	SyncFolder(folder string) error
+}
+
+// systemDisk is the disk of the operating system.
+type systemDisk struct{}
+
+// SystemDisk returns the disk of the operating system.
+func SystemDisk() Disk { return systemDisk{} }
+
+func (systemDisk) Write(file *os.File, data []byte) (int, error) { return file.Write(data) }
+func (systemDisk) Sync(file *os.File) error                      { return file.Sync() }
+func (systemDisk) Rename(from, to string) error                  { return os.Rename(from, to) }
+func (systemDisk) SyncFolder(folder string) error                { return syncFolder(folder) }
+
 // Journal is an open journal file. It is not safe for concurrent use.
 type Journal struct {
 	folder string
 	file   *os.File
 	size   int64
-	// syncFolder syncs the entries of the data folder.
-	syncFolder func(folder string) error
+	disk   Disk
 }
 
 // Open opens the journal in a folder and returns its records. The folder and the
@@ -44,11 +66,11 @@
 // opened or read or the folder can't be synced, and JournalUnusable if a torn record
 // can't be truncated, the file can't be synced or the write position can't be set.
 func Open(folder string) (*Journal, [][]byte, error) {
-	return open(folder, (*os.File).Sync)
+	return OpenOn(SystemDisk(), folder)
 }
 
-// open opens the journal in a folder, whose file is synced by syncFile.
-func open(folder string, syncFile func(*os.File) error) (*Journal, [][]byte, error) {
+// OpenOn is Open for a journal that writes with a disk.
+func OpenOn(disk Disk, folder string) (*Journal, [][]byte, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, nil, result.Wrap(err, result.FolderUnusable, "failed to create the data folder")
 	}
@@ -66,16 +88,16 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	j := &Journal{folder: folder, file: file, size: validLength, syncFolder: syncFolder}
+	j := &Journal{folder: folder, file: file, size: validLength, disk: disk}
 	if err := j.truncateTail(int64(len(data))); err != nil {
 		return nil, nil, err
 	}
 	// A process that was killed between a write and its sync leaves records that a
 	// loss of power takes away. Whoever acknowledges them now must have synced them.
-	if err := syncFile(file); err != nil {
+	if err := disk.Sync(file); err != nil {
 		return nil, nil, result.Wrap(err, result.JournalUnusable, "failed to sync the records of an earlier process")
 	}
-	return j, records, syncFolder(folder)
+	return j, records, disk.SyncFolder(folder)
 }
 
 // parseRecords returns the intact records and their total length with headers. It
@@ -150,14 +172,14 @@
 // records are on disk, and nothing more may be appended before Replace has
 // succeeded.
 func (j *Journal) Append(records [][]byte) error {
-	written, err := writeRecords(j.file, records)
+	written, err := writeRecords(j.disk, j.file, records)
 	j.size += written
 	return err
 }
 
 // writeRecords writes records with their headers to a file, syncs it and returns
 // the number of bytes written.
-func writeRecords(file *os.File, records [][]byte) (int64, error) {
+func writeRecords(disk Disk, file *os.File, records [][]byte) (int64, error) {
 	var buffer []byte
 	for _, r := range records {
 		if len(r) == 0 || len(r) > maxRecordBytes {
@@ -168,11 +190,11 @@
 		binary.BigEndian.PutUint64(header[4:], xxhash.Sum64(r))
 		buffer = append(append(buffer, header[:]...), r...)
 	}
-	n, err := file.Write(buffer)
+	n, err := disk.Write(file, buffer)
 	if err != nil {
 		return int64(n), result.Wrap(err, result.JournalUnusable, "failed to write records to the journal file")
 	}
-	if err := file.Sync(); err != nil {
+	if err := disk.Sync(file); err != nil {
 		return int64(n), result.Wrap(err, result.JournalUnusable, "failed to sync the journal file")
 	}
 	return int64(n), nil
@@ -191,9 +213,9 @@
 	if err != nil {
 		return result.Wrap(err, result.JournalUnusable, "failed to create the new journal")
 	}
-	size, err := writeRecords(file, records)
+	size, err := writeRecords(j.disk, file, records)
 	if err == nil {
-		if renameErr := os.Rename(path, filepath.Join(j.folder, journalName)); renameErr != nil {
+		if renameErr := j.disk.Rename(path, filepath.Join(j.folder, journalName)); renameErr != nil {
 			err = result.Wrap(renameErr, result.JournalUnusable, "failed to rename the new journal")
 		}
 	}
@@ -207,7 +229,7 @@
 	_ = j.file.Close()
 	j.file = file
 	j.size = size
-	return j.syncFolder(j.folder)
+	return j.disk.SyncFolder(j.folder)
 }
 
 // Close closes the journal file.
--- a/core/process/journal/replace_test.go
+++ b/core/process/journal/replace_test.go
@@ -16,10 +16,10 @@
 	j, _, err := Open(folder)
 	assert.NilError(t, err)
 	assert.NilError(t, j.Append([][]byte{[]byte("old")}))
-	j.syncFolder = func(string) error { return result.New(result.FolderUnusable, "the disk is gone") }
+	j.disk = faultyDisk{syncFolder: func(string) error { return result.New(result.FolderUnusable, "the disk is gone") }}
 	err = j.Replace([][]byte{[]byte("new")})
 	assert.Equal(t, result.CodeOf(err), result.FolderUnusable, "%v", err)
-	j.syncFolder = syncFolder
+	j.disk = systemDisk{}
 	assert.NilError(t, j.Append([][]byte{[]byte("later")}))
 	assert.NilError(t, j.Close())
 	j, records, err := Open(folder)
