discovery: an incomplete list entry does not hide that a target leaves

Cause: an entry of another writer with the id of the target, the state ready and keys too few was taken as whole, and of two entries with one id the first was kept.

Of two entries with one id one that is leaving is kept, else one chosen by its content.

Ruled out: the rule by which a target that is ready in the list again is a new run.

--- a/core/process/discovery/discovery.go
+++ b/core/process/discovery/discovery.go
@@ -4,9 +4,10 @@
 package discovery
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
-	"sort"
+	"strings"
 	"time"
 )
 
@@ -90,18 +91,34 @@
 	readAt         time.Time
 }
 
-// NewList returns the list of instances that a read yielded, or the first of those
-// that have the same id. The sequence
-// number must be one higher than the highest that this VM knew when the read
+// NewList returns the list of instances that a read yielded. Of those with the same id it
+// has one, in whatever order they come: one that is leaving, if there is one, since requests
+// to a target that ends are lost. The sequence number must be one higher than the highest that this VM knew when the read
 // began. A VM that was suspended during a read therefore cannot present its
 // outdated result as the newest.
 func NewList(instances []Instance, sequenceNumber uint64, readAt time.Time) List {
 	sorted := append([]Instance(nil), instances...)
-	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].id < sorted[j].id })
+	slices.SortFunc(sorted, Instance.compare)
 	sorted = slices.CompactFunc(sorted, func(a, b Instance) bool { return a.id == b.id })
 	return List{instances: sorted, sequenceNumber: sequenceNumber, readAt: readAt}
 }
 
+// compare orders instances by id. Of those with one id, one that is leaving comes first.
+func (i Instance) compare(other Instance) int {
+	if order := strings.Compare(i.id, other.id); order != 0 {
+		return order
+	}
+	switch {
+	case i.leaving && !other.leaving:
+		return -1
+	case !i.leaving && other.leaving:
+		return 1
+	}
+	return cmp.Or(strings.Compare(i.address, other.address), strings.Compare(i.service, other.service),
+		strings.Compare(i.dataCentre, other.dataCentre), strings.Compare(i.version, other.version),
+		cmp.Compare(i.slots, other.slots), cmp.Compare(i.coldFor, other.coldFor))
+}
+
 // Instances returns the instances, sorted by id.
 func (l List) Instances() []Instance { return l.instances }
 
--- a/core/process/discovery/discovery_test.go
+++ b/core/process/discovery/discovery_test.go
@@ -55,6 +55,27 @@
 	assert.Equal(t, list.Apply(update, 2, startTime).Instances()[0], odd)
 }
 
+// Of two entries with one id the same must be kept in whatever order they come, or the
+// target would be replaced at each read; and one that is leaving, or requests would go to a
+// target until it ends.
+func TestEntriesWithOneIDInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		entries := []discovery.Instance{newInstance("i-2")}
+		leaving := false
+		for range rapid.IntRange(1, 4).Draw(rt, "entries") {
+			e := discovery.NewInstance("i-1", rapid.SampledFrom([]string{"s-1", "s-2"}).Draw(rt, "service"), rapid.SampledFrom([]string{"10.0.0.1:80", "10.0.0.9:80"}).Draw(rt, "address"), "dc-1", 2).
+				WithLeaving(rapid.Bool().Draw(rt, "leaving"))
+			leaving = leaving || e.Leaving()
+			entries = append(entries, e)
+		}
+		list := discovery.NewList(entries, 1, startTime)
+		assert.Equal(rt, len(list.Instances()), 2)
+		assert.Equal(rt, list.Instances()[0].Leaving(), leaving)
+		shuffled := rapid.Permutation(entries).Draw(rt, "order")
+		assert.Equal(rt, fmt.Sprint(discovery.NewList(shuffled, 1, startTime)), fmt.Sprint(list))
+	})
+}
+
 func TestCompareIgnoresRemainingColdTime(t *testing.T) {
 	a := discovery.NewList([]discovery.Instance{newInstance("i-1").WithColdFor(2 * time.Second)}, 1, startTime)
 	b := discovery.NewList([]discovery.Instance{newInstance("i-1").WithColdFor(time.Second)}, 2, startTime)
