placement, admission, target: elapsed time is not counted by the time of day

Cause: the buckets of the window were numbered by the time of day, so that a step ahead moved the latest attempts out of it.

Buckets are numbered by the time since the process started.

Ruled out: the shares of the VMs, a restart.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SCENARIO ?=
 
-.PHONY: build test lint wire-names unit replay demo up bench soak soak-again soak-routes slopes fuzz platform platform-quiet platform-score platform-hunt rename-tool clean
+.PHONY: build test lint wire-names elapsed-time unit replay demo up bench soak soak-again soak-routes slopes fuzz platform platform-quiet platform-score platform-hunt rename-tool clean
 
 build:
 	@mkdir -p build
@@ -21,13 +21,19 @@
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	go vet $(MODULES)
 	go tool staticcheck $(MODULES)
-	@$(MAKE) --no-print-directory wire-names
+	@$(MAKE) --no-print-directory wire-names elapsed-time
 
 # Names of the platform's protocol occur as quoted strings in platform/ only.
 wire-names:
 	@found=$$(git ls-files -co --exclude-standard '*.go' | grep -v '^platform/' | xargs grep -nFf <(sed 's/.*/"&/' platform/wire-names.txt) /dev/null | grep -E '"($(shell paste -sd'|' platform/wire-names.txt))("|/)' || true); \
 	if [ -n "$$found" ]; then echo "names of the platform's wire outside platform/:"; echo "$$found"; exit 1; fi
 
+# Numbers of the time of day occur in the codec of times only. What is counted or compared
+# by them changes when the time of day is stepped.
+elapsed-time:
+	@found=$$(git ls-files -co --exclude-standard 'core/*.go' 'mulberrydale/*.go' 'platform/*.go' | grep -v -e '_test\.go$$' -e '^core/connection/frame/codec\.go$$' | xargs grep -nE '\.Unix(Nano|Micro|Milli)?\(\)' || true); \
+	if [ -n "$$found" ]; then echo "elapsed time measured by the time of day:"; echo "$$found"; exit 1; fi
+
 unit:
 	go test -race -timeout 5m $(MODULES)
 
--- a/core/process/placement/budget.go
+++ b/core/process/placement/budget.go
@@ -45,8 +45,8 @@
 	firsts [storedBuckets]int
 	extras [storedBuckets]int
 	earned [storedBuckets]float64
-	// lastBucket is the number of the latest bucket, counted from the Unix
-	// epoch.
+	// lastBucket is the number of the latest bucket, counted from startedAt: buckets that
+	// are numbered by the time of day leave the window when that is stepped ahead.
 	lastBucket int64
 	startedAt  time.Time
 	// roundingOffset is a random number from 0 to 1, chosen for each budget. It
@@ -65,7 +65,7 @@
 // the current bucket. If now is in an earlier bucket than the latest one,
 // nothing is cleared and the index of the latest one is returned.
 func (b *retryBudget) advance(now time.Time) int64 {
-	bucket := now.UnixNano() / int64(b.window/windowBuckets)
+	bucket := int64(max(0, now.Sub(b.startedAt)) / (b.window / windowBuckets))
 	for n := max(b.lastBucket, bucket-storedBuckets) + 1; n <= bucket; n++ {
 		b.firsts[n%storedBuckets] = 0
 		b.extras[n%storedBuckets] = 0
--- a/core/process/placement/cold.go
+++ b/core/process/placement/cold.go
@@ -18,7 +18,7 @@
 // coldAllowance is what one VM may send to a cold target.
 type coldAllowance struct {
 	unlimited bool
-	// perSecond is the number of requests in one second of the VM's clock. If it is 0,
+	// perSecond is the number of requests in one second of the VM's count. If it is 0,
 	// the VM may send one request in singleSendInterval if single is set, and none
 	// otherwise.
 	perSecond int
@@ -43,7 +43,7 @@
 	}
 	total := rate*l.coldOverage + l.coldSlack
 	// Halved because any second that the target or a monitor measures may
-	// overlap two seconds of this VM's clock, each with its full number of
+	// overlap two seconds of this VM's count, each with its full number of
 	// requests.
 	perSecond := int(total * l.coldLimitFraction / float64(vms) / 2)
 	return coldAllowance{perSecond: perSecond, single: perSecond == 0 && rank*float64(vms) < expectedSelection(total)}
@@ -63,23 +63,29 @@
 	case a.unlimited:
 		return true
 	case a.perSecond > 0:
-		return s.second != now.Unix() || s.inSecond < a.perSecond
+		return !s.counts(now) || s.inSecond < a.perSecond
 	}
 	return a.single && now.Sub(s.last) >= singleSendInterval
 }
 
 // coldSends counts the requests of this VM to one target.
 type coldSends struct {
-	// inSecond is the number of requests in second, a Unix time in seconds.
-	second   int64
+	// inSecond is the number of requests in the second that began at began, zero before the
+	// first request. It is not a second of the time of day, which may be stepped.
+	began    time.Time
 	inSecond int
 	last     time.Time
 }
 
+// counts reports whether now is in the second that began last.
+func (s coldSends) counts(now time.Time) bool {
+	return !s.began.IsZero() && now.Sub(s.began) < time.Second
+}
+
 // add counts a request.
 func (s *coldSends) add(now time.Time) {
-	if s.second != now.Unix() {
-		s.second = now.Unix()
+	if !s.counts(now) {
+		s.began = now
 		s.inSecond = 0
 	}
 	s.inSecond++
--- a/core/process/target/target.go
+++ b/core/process/target/target.go
@@ -64,10 +64,10 @@
 	// nanoseconds. Other targets of the service read it without this target's
 	// lock.
 	recentLatency atomic.Int64
-	// inferredColdUntil is the time in Unix nanoseconds until which the
-	// inference that the leaf is cold overrides reports that it is warm. Other
-	// targets of the service read it without this target's lock.
-	inferredColdUntil atomic.Int64
+	// inferredColdUntil is the time until which the inference that the leaf is cold
+	// overrides reports that it is warm, nil if there is none. Other targets of the service
+	// read it without this target's lock.
+	inferredColdUntil atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	state string
@@ -242,7 +242,7 @@
 		return
 	}
 	t.startID = startID
-	t.inferredColdUntil.Store(0)
+	t.inferredColdUntil.Store(nil)
 	t.transition(eventRestart, now)
 	t.resetHistory(now)
 }
@@ -289,7 +289,8 @@
 // inferredCold reports whether the leaf was inferred to be cold and its
 // declared warm-up time has not passed since. A restart ends the inference.
 func (t *Target) inferredCold(now time.Time) bool {
-	return now.UnixNano() < t.inferredColdUntil.Load()
+	until := t.inferredColdUntil.Load()
+	return until != nil && now.Before(*until)
 }
 
 // inferCold treats the target as cold because of sheds, response times or a
@@ -308,7 +309,8 @@
 		return
 	}
 	t.becomeCold(now)
-	t.inferredColdUntil.Store(now.Add(t.warmUp).UnixNano())
+	until := now.Add(t.warmUp)
+	t.inferredColdUntil.Store(&until)
 }
 
 // becomeCold restarts the ramp at this VM's share of the cold capacity. The
--- a/core/request/admission/queue.go
+++ b/core/request/admission/queue.go
@@ -34,8 +34,10 @@
 	lastSequence uint64
 	waiting      []*Ticket
 	// departures counts the departures of bucket n at index n % bucketCount.
-	// Buckets are numbered from the Unix epoch.
+	// Buckets are numbered from startedAt.
 	departures [bucketCount]int
+	// startedAt is when the first bucket began, zero before the first call with a time.
+	startedAt time.Time
 	// latestBucket is the number of the most recent bucket of the window.
 	latestBucket int64
 }
@@ -106,14 +108,17 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.advance(now)
-	q.departures[(now.UnixNano()/int64(bucketDuration))%bucketCount]++
+	q.departures[q.latestBucket%bucketCount]++
 }
 
 // advance moves the window to now and sets the counts of the buckets that it
 // enters to 0. If now is before the latest bucket, it changes nothing. The
 // caller must hold q.mu.
 func (q *Queue) advance(now time.Time) {
-	bucket := now.UnixNano() / int64(bucketDuration)
+	if q.startedAt.IsZero() {
+		q.startedAt = now
+	}
+	bucket := int64(max(0, now.Sub(q.startedAt)) / bucketDuration)
 	for n := max(q.latestBucket, bucket-bucketCount) + 1; n <= bucket; n++ {
 		q.departures[n%bucketCount] = 0
 	}
