platform: a configuration that is no JSON is not acknowledged

Cause: the parser of the tier's own documents, which have comments.

What an operator sends must be JSON now. Documents that were accepted earlier stay readable: an entry VM that restarts after an upgrade would otherwise have no routes.

--- a/Makefile
+++ b/Makefile
@@ -99,6 +99,7 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./core/version/configuration
 	go test -run '^$$' -fuzz FuzzParseList -fuzztime $(FUZZTIME) ./core/version/document
+	go test -run '^$$' -fuzz FuzzParsePlain -fuzztime $(FUZZTIME) ./core/version/document
 	go test -run '^$$' -fuzz FuzzSoundElements -fuzztime $(FUZZTIME) ./core/version/document
 	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) -parallel 2 ./core/connection/exchange
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./core/connection/frame
--- a/core/process/host/check.go
+++ b/core/process/host/check.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return result.Wrap(err, result.DocumentMissing, "reading the routes file")
 	}
-	t, err := adapter.DecodeRoutes(text)
+	t, err := adapter.AcceptRoutes(text)
 	if err != nil {
 		return err
 	}
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	api := NewOperatorAPI(p.cluster, p.adapter.DecodeRoutes, p.log)
+	api := NewOperatorAPI(p.cluster, p.adapter.AcceptRoutes, p.log)
 	return socket, p.serveHTTP(operatorsListener, s.operatorsAddress, p.adapter.OperatorHandler(api))
 }
 
--- a/core/process/host/settings.go
+++ b/core/process/host/settings.go
@@ -231,8 +231,12 @@
 type Adapter interface {
 	// DecodeSettings decodes and validates the text of a settings file.
 	DecodeSettings(text []byte) (Settings, error)
-	// DecodeRoutes decodes and validates a document of routes.
+	// DecodeRoutes decodes and validates a document of routes that was accepted, maybe by
+	// an earlier version of the program.
 	DecodeRoutes(document []byte) (*routing.Table, error)
+	// AcceptRoutes is DecodeRoutes for a document that an operator publishes. It may reject
+	// more.
+	AcceptRoutes(document []byte) (*routing.Table, error)
 	// HeaderNames returns the names of the HTTP headers of requests and
 	// responses.
 	HeaderNames() exchange.HeaderNames
--- a/core/version/document/document.go
+++ b/core/version/document/document.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"strings"
@@ -58,6 +59,16 @@
 	return d, nil
 }
 
+// ParsePlain is Parse for a document that must be JSON without comments and trailing commas.
+func ParsePlain(source []byte) (*Document, error) {
+	d, err := Parse(source)
+	if err != nil || json.Valid(source) {
+		return d, err
+	}
+	d.AddFault(result.Syntax, "", "the document is no JSON", "remove comments, and commas behind the last member or element")
+	return nil, d.Err()
+}
+
 // HideValues keeps the faults at a path and below from showing values, which may be secret:
 // faults are logged and passed on.
 func (d *Document) HideValues(path string) { d.hidden = append(d.hidden, path) }
--- a/core/version/document/document_test.go
+++ b/core/version/document/document_test.go
@@ -1,6 +1,7 @@
 package document_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -60,3 +61,45 @@
 	fmt.Println(doc.Err())
 	// Output: 408 limit-out-of-range: line 2, column 12 (/slots): 0 is out of range; write a whole number from 1 to 100
 }
+
+// The operators of a platform whose configurations are JSON must not get an acknowledgement
+// for a text that is none. Whatever ParsePlain accepts the standard library accepts, and the
+// other way round but for duplicate keys, nesting and values that Parse rejects.
+func TestPlainDocuments(t *testing.T) {
+	tests := []struct {
+		text  string
+		plain bool
+	}{
+		{`{"a":[1,2]}`, true},
+		{` {"a" : "// not a comment, /* nor this */"} `, true},
+		{`{"a":1.5e+300,"b":123456789012345678901234567890}`, true},
+		{`{"a":"\u0041"}`, true},
+		{`{"a":1,}`, false},
+		{`{"a":[1,2,]}`, false},
+		{`{"a":1} // comment`, false},
+		{`/* comment */{"a":1}`, false},
+		{`{"a"/**/:1}`, false},
+		{"\ufeff" + `{"a":1}`, false},
+		{`{"a":01}`, false},
+		{`{"a":1}{}`, false},
+		{`{'a':1}`, false},
+	}
+	for _, tt := range tests {
+		_, err := document.ParsePlain([]byte(tt.text))
+		assert.Equal(t, err == nil, tt.plain, tt.text)
+		assert.Equal(t, json.Valid([]byte(tt.text)), tt.plain, tt.text)
+		if err != nil {
+			assert.Equal(t, result.CodeOf(err), result.Syntax, tt.text)
+		}
+	}
+}
+
+func FuzzParsePlain(f *testing.F) {
+	f.Add([]byte(`{"a":[1,"x",null]}`))
+	f.Add([]byte(`{"a":1,}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, err := document.ParsePlain(text)
+		_, commented := document.Parse(text)
+		assert.Equal(t, err == nil, commented == nil && json.Valid(text), "%q", text)
+	})
+}
--- a/mulberrydale/routes/wire.go
+++ b/mulberrydale/routes/wire.go
@@ -35,6 +35,9 @@
 // DecodeRoutes decodes a document of routes.
 func (Wire) DecodeRoutes(document []byte) (*routing.Table, error) { return Decode(document) }
 
+// AcceptRoutes decodes a document of routes that an operator publishes.
+func (Wire) AcceptRoutes(document []byte) (*routing.Table, error) { return Decode(document) }
+
 // HeaderNames returns the product's own header names.
 func (Wire) HeaderNames() exchange.HeaderNames { return exchange.OwnHeaderNames() }
 
