--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -83,6 +83,9 @@
 // SIGINT arrives, and then shuts it down gracefully. It returns an error if the
 // settings are invalid, the process cannot start or a listener fails.
 func Run(path string, adapter Adapter) error {
+	// The signals are handled before anything else: their default is the end of the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
 	settings, text, err := readSettings(path, adapter)
 	if err != nil {
@@ -100,7 +103,7 @@
 		log.Error("cannot start the process", logsink.Cause(err))
 		return err
 	}
-	return p.waitForStop(ctx)
+	return p.waitForStop(ctx, signals)
 }
 
 // newLogger returns a logger that writes JSON lines with durations in
@@ -201,9 +204,7 @@
 // waitForStop reloads changed settings, at once on SIGHUP, until SIGTERM or
 // SIGINT arrives, and then shuts the process down. It returns an error if a
 // listener fails.
-func (p *process) waitForStop(ctx context.Context) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func (p *process) waitForStop(ctx context.Context, signals <-chan os.Signal) error {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	p.log.Info("serving", zap.String("data-centre", p.settings.dataCentre), zap.String("callers", p.settings.callersAddress),
