control: an interrupted first start is completed

Cause: that VM bootstraps the log, but only if its settings say that this is the first start, which they don't for a process that starts again.

In a first start each seed now records the seeds on its disk. A later process of the lowest of them bootstraps the log if its disk has this record and no log. No second log is possible: only this VM bootstraps one, and syncs it to the same disk before it tells anyone.

Evidence: TestFirstStartThatWasInterruptedIsCompleted times out without the record. Ruled out: elections; the other seeds.

--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -175,13 +175,17 @@
 
 // EnableControl makes this process a control VM that stores the replicated log
 // in a data folder. Control VMs join the log as voters until it has wantedVoters
-// of them. It is called before Run. The errors are those of control.Open.
+// of them. It is called before Run. The errors are those of control.Open and
+// control.RecordFirstStart.
 func (c *Cluster) EnableControl(folder string, wantedVoters int, now time.Time) error {
 	role, err := control.Open(folder, c.self.address, nil, wantedVoters, c, c, c.log, now)
 	if err != nil {
 		return err
 	}
 	c.control = role
+	if c.MayBootstrap() {
+		return role.RecordFirstStart(c.seeds)
+	}
 	return nil
 }
 
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -87,6 +87,10 @@
 	// The fields below, up to stateMu, are accessed only by the loop of Run.
 	node    *replica.Node
 	journal *journal.Journal
+	// folder is the data folder, and firstStartVMs the VMs of a first start that had no log
+	// when the process started.
+	folder        string
+	firstStartVMs []string
 	// applied is the index of the last entry that was applied to the state.
 	applied uint64
 	// pending holds the proposals that are not committed yet, by log index.
@@ -165,7 +169,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return open(j, records, vm, configuredVMs, wantedVoters, sender, peers, log, now)
+	c, err := open(j, records, vm, configuredVMs, wantedVoters, sender, peers, log, now)
+	if err != nil {
+		return nil, err
+	}
+	c.loadFirstStart(folder)
+	return c, nil
 }
 
 // open is Open for a journal that is open already, with its records.
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -344,7 +344,7 @@
 			c.sender.SendEnvelope(vm, replica.EncodeEnvelope(join))
 		}
 	}
-	if !bootstrapped && allAlive && lowest && c.peers.MayBootstrap() {
+	if !bootstrapped && allAlive && lowest && c.mayBootstrap() {
 		c.node.Bootstrap(replica.NewVoters(members), now)
 	}
 }
