--- a/core/process/discovery/discovery.go
+++ b/core/process/discovery/discovery.go
@@ -93,9 +93,9 @@
 
 // NewList returns the list of instances that a read yielded. Of those with the same id it
 // has one, in whatever order they come: one that is leaving, if there is one, since requests
-// to a target that ends are lost. The sequence number must be one higher than the highest that this VM knew when the read
-// began. A VM that was suspended during a read therefore cannot present its
-// outdated result as the newest.
+// to a target that ends are lost. The sequence number must be one higher than the highest
+// that this VM knew when the read began. A VM that was suspended during a read therefore
+// cannot present its outdated result as the newest.
 func NewList(instances []Instance, sequenceNumber uint64, readAt time.Time) List {
 	sorted := append([]Instance(nil), instances...)
 	slices.SortFunc(sorted, Instance.compare)
