exchange: long bodies are read in blocks that are used again

By hand with 184 MB and 8 callers, targets that sent failures in chunks without end took an entry VM to 190 MB, although each body was charged: buffers that doubled up to 8 MB were garbage faster than it was collected.

Beyond 256 KB a body that must be whole is read in blocks of a pool and copied once its end is there.

--- a/core/connection/exchange/memory_test.go
+++ b/core/connection/exchange/memory_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -36,6 +37,15 @@
 
 func (m *countedMemory) ShrinkForResponse(n int64) { m.used.Add(-n) }
 
+// text returns n bytes whose order shows.
+func text(n int) []byte {
+	out := make([]byte, n)
+	for i := range out {
+		out[i] = byte(i % 251)
+	}
+	return out
+}
+
 // What is read of a response must be charged as it arrives, and released unless the response
 // is kept. A response that may be passed on before its end needs no more than there is
 // memory for; another one is lost without it.
@@ -57,6 +67,12 @@
 		{"long, without memory", 200, body, false, 0, true, true, false},
 		{"long, with memory for a part", 200, body, false, 40 << 10, true, true, true},
 		{"long part, with memory", 200, body, true, 1 << 20, true, false, true},
+		{"part in several blocks", 200, 3<<20 + 5, true, 16 << 20, true, false, true},
+		{"part in blocks, no memory for all of them", 200, 3<<20 + 5, true, 2 << 20, false, false, false},
+		{"part in blocks, no memory for them together", 200, 3<<20 + 5, true, 5 << 20, false, false, false},
+		{"part of the largest size", 200, 8 << 20, true, 32 << 20, true, false, true},
+		{"part over the largest size", 200, 8<<20 + 1, true, 32 << 20, false, false, false},
+		{"failure in several blocks", 500, 1 << 20, false, 16 << 20, true, false, true},
 		{"long part, without memory", 200, body, true, 100 << 10, false, false, false},
 		{"long failure, without memory", 500, body, false, 100 << 10, false, false, false},
 	}
@@ -67,7 +83,7 @@
 				w.Header().Set(names.Request(), r.Header.Get(names.Request()))
 				w.Header().Set(names.Signature(), "s")
 				w.WriteHeader(tt.status)
-				_, _ = io.WriteString(w, strings.Repeat("b", tt.length))
+				_, _ = w.Write(text(tt.length))
 			}))
 			defer server.Close()
 			memory := &countedMemory{limit: tt.limit}
@@ -86,14 +102,14 @@
 			if ok {
 				res := answered.Response()
 				assert.Equal(t, res.Rest() != nil, tt.streamed)
-				length := len(res.Body())
+				got := res.Body()
 				if res.Rest() != nil {
 					rest, err := io.ReadAll(res.Rest())
 					assert.NilError(t, err)
 					assert.NilError(t, res.Rest().Close())
-					length += len(rest)
+					got = append(got, rest...)
 				}
-				assert.Equal(t, length, tt.length)
+				assert.Assert(t, bytes.Equal(got, text(tt.length)), "%d bytes of %d", len(got), tt.length)
 			}
 			r.Release()
 			assert.Assert(t, released)
--- a/core/connection/exchange/response.go
+++ b/core/connection/exchange/response.go
@@ -31,22 +31,6 @@
 	MaxBufferedBytes = 256 << 10
 )
 
-const (
-	// unchargedHeadBytes and unchargedBodyBytes are the sizes of the beginning of a head and
-	// of a body that are read without a charge: most responses are shorter.
-	unchargedHeadBytes = 8 << 10
-	unchargedBodyBytes = 4 << 10
-	// headStepBytes is how much of a longer head is read at a time, and headByteCost what a
-	// byte of it is charged: a short line takes about as much more memory decoded.
-	headStepBytes = 16 << 10
-	headByteCost  = 16
-	// firstBodyBytes is the first size of the buffer of a body of unknown length.
-	firstBodyBytes = 512
-)
-
-// errNoMemory means that there is no memory left for a response.
-var errNoMemory = result.New(result.FrameTooLarge, "there is no memory left for the response")
-
 // The final statuses of HTTP.
 const (
 	minFinalStatus = 200
@@ -89,7 +73,7 @@
 		res, err := http.ReadResponse(x.conn.Reader(), req)
 		if err != nil {
 			x.finish(false)
-			x.releaseMemory()
+			x.releaseAll()
 			return relay.NewLost(result.Wrap(err, result.Unreachable, "reading the response header")).WithOverLimit(resetBeforeFirstRequest(x.conn, err))
 		}
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
@@ -99,7 +83,7 @@
 		}
 		if err := checkResponse(res); err != nil {
 			x.finish(false)
-			x.releaseMemory()
+			x.releaseAll()
 			return relay.NewLost(err)
 		}
 		x.conn.UnlimitInput()
@@ -110,69 +94,6 @@
 	}
 }
 
-// moreHead returns how many more bytes of the head may be read, 0 if it has reached its limit
-// or there is no memory for more.
-func (x *roundTrip) moreHead() int {
-	step := min(headStepBytes, maxHeaderBytes-x.headBytes)
-	if step == 0 || !x.reserve(headByteCost*int64(step)) {
-		return 0
-	}
-	x.headBytes += step
-	return step
-}
-
-// reserve charges the request for memory of this response and reports whether there was room
-// for it.
-func (x *roundTrip) reserve(n int64) bool {
-	if !x.attempt.Request().ReserveResponse(n) {
-		return false
-	}
-	x.charged += n
-	return true
-}
-
-// releaseMemory releases what the request is charged for a response that is not kept. What is
-// charged for another one is released with the request.
-func (x *roundTrip) releaseMemory() {
-	x.attempt.Request().ReleaseResponse(x.charged)
-	x.charged = 0
-}
-
-// readUpTo reads a body up to limit bytes and one more. It returns errNoMemory with what it
-// has read if there is no memory for more. end reports whether that is the whole body.
-func (x *roundTrip) readUpTo(limit int64, res *http.Response) (body []byte, end bool, err error) {
-	size := int64(firstBodyBytes)
-	if res.ContentLength >= 0 {
-		// One byte more, so that the end is found without a larger buffer.
-		size = min(res.ContentLength, unchargedBodyBytes-1) + 1
-	}
-	body = make([]byte, 0, size)
-	for {
-		n, err := res.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF:
-			return body, true, nil
-		case err != nil:
-			return body, false, err
-		case int64(len(body)) > limit:
-			return body, false, nil
-		case len(body) < cap(body):
-			continue
-		}
-		old := int64(cap(body))
-		larger := min(2*old, limit+1)
-		if larger > unchargedBodyBytes && !x.reserve(larger) {
-			return body, false, errNoMemory
-		}
-		body = append(make([]byte, 0, larger), body...)
-		if old > unchargedBodyBytes {
-			x.attempt.Request().ReleaseResponse(old)
-			x.charged -= old
-		}
-	}
-}
-
 // checkResponse returns an error if a final response does not conform to HTTP: if its status
 // is outside 200 to 599, or a field has a space in its name, usually before the colon.
 // net/http treats such a field as an unknown one, even if it declares the length of the body.
@@ -202,7 +123,7 @@
 	noMemory := errors.Is(err, errNoMemory)
 	if err != nil && !(noMemory && streamable) {
 		x.finish(false)
-		x.releaseMemory()
+		x.releaseAll()
 		if !noMemory {
 			err = result.Wrap(err, result.Unreachable, "the response body broke off")
 		}
@@ -216,7 +137,7 @@
 	outcome, reuse := x.names.classify(res, header, body, x.attempt.Request().ID(), notice)
 	answered, ok := outcome.(relay.Answered)
 	if !ok {
-		x.releaseMemory()
+		x.releaseAll()
 	}
 	switch {
 	case end:
@@ -231,7 +152,7 @@
 	if !ok {
 		return outcome
 	}
-	x.releaseMemory()
+	x.releaseAll()
 	return relay.NewLost(result.New(result.FrameTooLarge, "the response body is over the limit of %d bytes", limit)).WithNotice(notice)
 }
 
