--- a/core/version/document/list.go
+++ b/core/version/document/list.go
@@ -21,22 +21,22 @@
 func ParsePlainList(source []byte, key string) (List, error) { return parseList(source, key, false) }
 
 func parseList(source []byte, key string, comments bool) (List, error) {
-	list, found := splitList(source, key, comments)
+	texts, found := newSplitter(source, comments).split(key)
 	if !found {
-		list.rest = source
+		texts.rest = source
 	}
-	doc, err := Parse(list.rest)
+	doc, err := Parse(texts.rest)
 	if err != nil {
 		return List{}, err
 	}
-	l := List{root: doc.Root(), invalid: list.unreadable}
+	l := List{root: doc.Root(), invalid: texts.unreadable}
 	if len(l.root.Objects(key)) > 0 {
 		doc.addFaultAt(result.WrongType, l.root.path+"/"+key, l.root.offset, "the list under %q has no end, or the key is written with escapes", "close the list, and write the key without escapes", key)
 	}
 	if doc.Err() != nil {
 		return List{}, doc.Err()
 	}
-	for _, text := range list.elements {
+	for _, text := range texts.elements {
 		element, err := Parse(text)
 		if err != nil {
 			l.invalid++
--- a/core/version/document/split.go
+++ b/core/version/document/split.go
@@ -18,8 +18,8 @@
 	work int
 }
 
-// split is the text of a list.
-type split struct {
+// listText is the text of a list in parts.
+type listText struct {
 	elements [][]byte
 	// unreadable is the number of places with elements that can't be read.
 	unreadable int
@@ -27,20 +27,24 @@
 	rest []byte
 }
 
-// splitList finds the list that the top-level object has under a key. It returns false if
-// there is no such list, or it has no end. Without comments, a comment is an element that
-// can't be read.
-func splitList(source []byte, key string, comments bool) (split, bool) {
-	s := splitter{scanner: scanner{source: source, plain: !comments}, work: splitWorkFactor*len(source) + splitWorkBytes}
+// newSplitter returns a splitter for a document. Without comments, a comment is an element
+// that can't be read.
+func newSplitter(source []byte, comments bool) *splitter {
+	return &splitter{scanner: scanner{source: source, plain: !comments}, work: splitWorkFactor*len(source) + splitWorkBytes}
+}
+
+// split finds the list that the top-level object has under a key. It returns false if there
+// is no such list, or it has no end.
+func (s *splitter) split(key string) (listText, bool) {
 	if !s.seekList(`"` + key + `"`) {
-		return split{}, false
+		return listText{}, false
 	}
-	var out split
+	var out listText
 	begin := s.offset
 	for {
 		start := s.offset
 		if s.skipBlank() && s.endsListHere() {
-			out.rest = append(append([]byte(nil), source[:begin]...), source[s.offset:]...)
+			out.rest = append(append([]byte(nil), s.source[:begin]...), s.source[s.offset:]...)
 			return out, true
 		}
 		if text, ok := s.element(); ok {
@@ -49,7 +53,7 @@
 		}
 		out.unreadable++
 		if !s.resume(start) {
-			return split{}, false
+			return listText{}, false
 		}
 	}
 }
