--- a/core/process/cluster/order_test.go
+++ b/core/process/cluster/order_test.go
@@ -24,7 +24,7 @@
 	assert.NilError(in.t, err)
 }
 
-// Guards against a delayed order that undoes a later one. The VM stands still after it has
+// Guards against a delayed order that undoes a later one. The VM is paused after it has
 // seen that its operator waits, on each VM of the installation, leader or not; meanwhile the
 // operator gives up, and other VMs execute the same order and the opposite one.
 func TestDelayedOrderDoesNotUndoALaterOne(t *testing.T) {
--- a/core/process/control/fulldisk_test.go
+++ b/core/process/control/fulldisk_test.go
@@ -172,10 +172,10 @@
 				return r.disks[name]
 			})
 			// In some runs a disk is full from the first start on.
-			founding := r.disks[r.network.names[rng.IntN(len(r.network.names))]]
-			founding.set(rng.IntN(2) == 0, faultPoint(rng.IntN(int(faultPoints))), rng.IntN(3))
+			firstFull := r.disks[r.network.names[rng.IntN(len(r.network.names))]]
+			firstFull.set(rng.IntN(2) == 0, faultPoint(rng.IntN(int(faultPoints))), rng.IntN(3))
 			r.advance(t, time.Duration(rng.IntN(4000))*time.Millisecond)
-			founding.set(false, 0, 0)
+			firstFull.set(false, 0, 0)
 			r.advance(t, acknowledgeBound)
 			assert.Assert(t, r.acknowledged > 0, "no change was acknowledged after the first start")
 			for range 3 + rng.IntN(6) {
--- a/mulberrydale/routes/order_process_test.go
+++ b/mulberrydale/routes/order_process_test.go
@@ -13,18 +13,18 @@
 	"gotest.tools/v3/assert"
 )
 
-// operatorPatience is how long an operator waits for an answer before it gives up and asks
+// operatorTimeout is how long an operator waits for an answer before it gives up and asks
 // another control VM.
-const operatorPatience = time.Second
+const operatorTimeout = time.Second
 
 // orderOnce sends an order about the data centre to one control VM, and reports whether it was
-// acknowledged within operatorPatience.
+// acknowledged within operatorTimeout.
 func (d *rolloutDeployment) orderOnce(n int, out bool) bool {
 	method := http.MethodDelete
 	if out {
 		method = http.MethodPut
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), operatorPatience)
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, d.operators[n]+pathDataCentres+"oulu-1"+suffixOutOfService, http.NoBody)
 	assert.NilError(d.t, err)
@@ -57,7 +57,7 @@
 // replaced it. A VM, the leader or not, is stopped for 0.2 to 6 s; the operator asks it first,
 // gives up, and sends the order and the opposite one to the others. Whatever wakes then, the
 // last acknowledged order must hold. ORDER_ROUNDS sets the number of rounds.
-func TestOrdersWhileControlVMsStandStill(t *testing.T) {
+func TestOrdersWhileControlVMsArePaused(t *testing.T) {
 	rounds := 4
 	// Without the variable, or with another text in it, rounds stays as it is.
 	_, _ = fmt.Sscan(os.Getenv("ORDER_ROUNDS"), &rounds)
@@ -82,6 +82,6 @@
 		}
 		time.Sleep(time.Until(stoppedAt.Add(pause + 1500*time.Millisecond)))
 		wake.Stop()
-		assert.Equal(t, d.served(), !out, "round %d: VM %d stood still for %v, the last order that was acknowledged has out %t", round, stopped, pause, out)
+		assert.Equal(t, d.served(), !out, "round %d: VM %d was paused for %v, the last order that was acknowledged has out %t", round, stopped, pause, out)
 	}
 }
