control: decisions on voters are logged

Each decision is now one line: the voter, its replica id, the term, how long it has been silent and the age of the leader's contact with a quorum.

No change of behaviour; the three places that took the start of the leadership for the first answer of a replica use one function.

--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -147,6 +147,7 @@
 	c.node.Flush(now)
 	for {
 		out := c.node.TakeOutput()
+		c.logVoterDecisions(out.VoterDecisions())
 		if out.HasRecords() {
 			if err := c.appendRecords(out); err != nil {
 				c.failJournal(err, clock.now())
@@ -176,6 +177,18 @@
 	return c.compact()
 }
 
+// logVoterDecisions logs the decisions of this leader to add or remove voters.
+func (c *Control) logVoterDecisions(decisions []replica.VoterDecision) {
+	for _, d := range decisions {
+		message := "voter of the replicated log removed"
+		if d.Added() {
+			message = "voter of the replicated log added"
+		}
+		c.log.Info(message, zap.String("voter", d.Member().VM()), zap.String("id", string(d.Member().ID())), zap.Uint64("term", c.node.Term()),
+			zap.Int("voters", len(c.node.Voters().Members())), zap.Duration("silence", d.Silence()), zap.Duration("quorum-age", d.QuorumAge()))
+	}
+}
+
 // appendRecords writes the records of an output to the journal and syncs them.
 func (c *Control) appendRecords(out replica.Output) error {
 	var records [][]byte
--- a/core/process/replica/membership.go
+++ b/core/process/replica/membership.go
@@ -46,20 +46,16 @@
 	}
 	voters := n.Voters()
 	if previous, ok := voters.ByVM(m.vm); ok {
-		n.appendEntry(VoterChange, nil, voters.without(previous.id))
-		n.replicate(now)
+		n.removeVoter(previous, now)
 		return
 	}
 	if n.voterCount > 0 && len(voters.members) >= n.voterCount {
 		if unresponsive, ok := n.unresponsiveVoter(voters, now); ok {
-			n.appendEntry(VoterChange, nil, voters.without(unresponsive.id))
-			n.replicate(now)
+			n.removeVoter(unresponsive, now)
 		}
 		return
 	}
-	delete(n.learners, m.id)
-	n.appendEntry(VoterChange, nil, voters.with(m))
-	n.replicate(now)
+	n.addVoter(m, now)
 }
 
 // mayJoin reports whether the replica of a VM may become a learner.
@@ -75,11 +71,7 @@
 		if m.id == n.self.id {
 			continue
 		}
-		ackedAt := n.progressOf(m.id).ackedAt
-		if ackedAt.IsZero() {
-			ackedAt = n.leaderSince
-		}
-		if now.Sub(ackedAt) > unresponsiveAfter {
+		if now.Sub(n.answeredAt(m.id)) > unresponsiveAfter {
 			return m, true
 		}
 	}
--- a/core/process/replica/node.go
+++ b/core/process/replica/node.go
@@ -48,6 +48,8 @@
 	entries      []Entry
 	snapshot     *Snapshot
 	envelopes    []Envelope
+	// voterDecisions are already carried out and are there to be logged.
+	voterDecisions []VoterDecision
 }
 
 // HasRecords reports whether the output holds records to write.
@@ -58,6 +60,10 @@
 // Envelopes returns the messages to send after the records are synced.
 func (o Output) Envelopes() []Envelope { return o.envelopes }
 
+// VoterDecisions returns the decisions on voters, which this replica made as the leader and
+// which need no action.
+func (o Output) VoterDecisions() []VoterDecision { return o.voterDecisions }
+
 // InstalledSnapshot returns the snapshot that replaces the applied state, or nil.
 func (o Output) InstalledSnapshot() *Snapshot { return o.snapshot }
 
--- a/core/process/replica/replication.go
+++ b/core/process/replica/replication.go
@@ -300,11 +300,7 @@
 			ackTimes = append(ackTimes, now)
 			continue
 		}
-		ackedAt := n.progressOf(m.id).ackedAt
-		if ackedAt.IsZero() {
-			ackedAt = n.leaderSince
-		}
-		ackTimes = append(ackTimes, ackedAt)
+		ackTimes = append(ackTimes, n.answeredAt(m.id))
 	}
 	sort.Slice(ackTimes, func(i, j int) bool { return ackTimes[i].After(ackTimes[j]) })
 	if len(ackTimes) < voters.Quorum() {
