replica: a leader that stood still replaces no voter

One control VM has lost its disk, the leader stands still for 3.4 s after an acknowledgement, and from then on there is no leader, though two of the three disks that held the configuration are sound.

Cause: the loop of control handles what lies in the inbox before the timers, by which a leader notices that it has no quorum. The first reply of the learner then reached promoteLearner, which replaces a voter that has been silent for 2.5 s: to a leader that stood still, all have been, and it removed the first by address. A set of voters counts from the moment it is appended, so that the leader stepped down with a log that ends with a set of two, itself and the VM whose disk is gone. The sound voter can't win against the longer log, and the leader can't win without a vote of the lost one.

Fix: a leader changes voters only while it is in contact with a quorum, within the election timeout, as for votes. Within that time no other leader can have been elected, and a majority has answered it, so that a voter that is silent for longer is silent towards a leader that runs.

--- a/core/process/replica/membership.go
+++ b/core/process/replica/membership.go
@@ -31,14 +31,16 @@
 	n.sendAppend(m.member, now, true)
 }
 
-// promoteLearner turns a learner into a voter if it has all committed entries. If
+// promoteLearner turns a learner into a voter if it has all committed entries and this
+// leader is in contact with a quorum. To a leader that stood still, all voters have been
+// silent, and a change of voters that it appends counts before it is committed. If
 // an earlier incarnation of its VM is a voter, or there are already voterCount
 // voters and one of them is unresponsive, that voter is removed first. Each step
 // is a separate change, which is committed before the next one. If there are
 // voterCount voters and all of them respond, the learner stays a learner. A
 // voterCount of 0 sets no limit.
 func (n *Node) promoteLearner(m Member, now time.Time) {
-	if _, isLearner := n.learners[m.id]; !isLearner || !n.mayChangeVoters() {
+	if _, isLearner := n.learners[m.id]; !isLearner || !n.mayChangeVoters() || !n.hasLiveLeader(now) {
 		return
 	}
 	if n.progressOf(m.id).matchIndex < n.commitIndex {
