replica: a spare becomes a voter before the silent voter is removed

Callers would see the same: an acknowledged configuration can't be read again, although only one disk is lost.

Cause: to replace a voter that had been silent for 2.5 s, the leader removed it and then added the spare. A set of voters counts as soon as it is appended. If one of the two remaining ones loses its disk before the spare is added, or so short before the removal that the leader doesn't know, there is never a majority again. The voter that was removed had only stood still.

Evidence: TestLostDiskWhileAFrozenVoterIsReplaced, one voter frozen for 6 s, another one's disk lost 2.3 to 3.2 s after that.

Why it works: with the spare added first the set has four, of which three must be there. With one disk lost these are the leader, the spare and the voter that stood still, once it runs again. After that is committed the voter that has been silent for longest is removed. An earlier incarnation of a VM is still removed first: its disk is gone, and four with one dead would need one more VM.

The random test of voter changes kept from losing a disk while a set was small, which is exactly this case.

--- a/core/process/replica/membership.go
+++ b/core/process/replica/membership.go
@@ -31,16 +31,14 @@
 	n.sendAppend(m.member, now, true)
 }
 
-// promoteLearner turns a learner into a voter if it has all committed entries and this
-// leader is in contact with a quorum. To a leader that stood still, all voters have been
-// silent, and a change of voters that it appends counts before it is committed. If
-// an earlier incarnation of its VM is a voter, or there are already voterCount
-// voters and one of them is unresponsive, that voter is removed first. Each step
-// is a separate change, which is committed before the next one. If there are
-// voterCount voters and all of them respond, the learner stays a learner. A
-// voterCount of 0 sets no limit.
+// promoteLearner turns a learner into a voter if it has all committed entries. An earlier
+// incarnation of its VM, whose disk is lost, is removed first. If there are voterCount voters,
+// a learner becomes one only in place of an unresponsive voter, and removeSurplusVoter removes
+// that one afterwards. The other way round, the loss of another disk in between would leave
+// no majority, although the disk of the unresponsive voter is sound. Each step is a separate
+// change, which is committed before the next one. A voterCount of 0 sets no limit.
 func (n *Node) promoteLearner(m Member, now time.Time) {
-	if _, isLearner := n.learners[m.id]; !isLearner || !n.mayChangeVoters() || !n.hasLiveLeader(now) {
+	if _, isLearner := n.learners[m.id]; !isLearner || !n.mayChangeVoters(now) {
 		return
 	}
 	if n.progressOf(m.id).matchIndex < n.commitIndex {
@@ -51,13 +49,26 @@
 		n.removeVoter(previous, now)
 		return
 	}
-	if n.voterCount > 0 && len(voters.members) >= n.voterCount {
-		if unresponsive, ok := n.unresponsiveVoter(voters, now); ok {
-			n.removeVoter(unresponsive, now)
-		}
+	if n.voterCount == 0 || len(voters.members) < n.voterCount {
+		n.addVoter(m, now)
+		return
+	}
+	silent, ok := n.longestSilent(voters)
+	if ok && len(voters.members) == n.voterCount && now.Sub(n.answeredAt(silent.id)) > unresponsiveAfter {
+		n.addVoter(m, now)
+	}
+}
+
+// removeSurplusVoter removes the voter that has been silent for the longest time if there are
+// more than voterCount, after one has been added in place of another.
+func (n *Node) removeSurplusVoter(now time.Time) {
+	voters := n.Voters()
+	if n.voterCount == 0 || len(voters.members) <= n.voterCount || !n.mayChangeVoters(now) {
 		return
 	}
-	n.addVoter(m, now)
+	if silent, ok := n.longestSilent(voters); ok {
+		n.removeVoter(silent, now)
+	}
 }
 
 // mayJoin reports whether the replica of a VM may become a learner.
@@ -65,30 +76,29 @@
 	return n.voterCount > 0 || slices.Contains(n.voterVMs, vm)
 }
 
-// unresponsiveVoter returns a voter that has answered no message sent within the
-// last unresponsiveAfter, or false if there is none. A voter that has not replied
-// to this leader yet counts from the start of the leadership.
-func (n *Node) unresponsiveVoter(voters Voters, now time.Time) (Member, bool) {
+// longestSilent returns the voter, other than this leader, that has answered no message for
+// the longest time, or false if there is no other voter.
+func (n *Node) longestSilent(voters Voters) (silent Member, ok bool) {
 	for _, m := range voters.members {
 		if m.id == n.self.id {
 			continue
 		}
-		if now.Sub(n.answeredAt(m.id)) > unresponsiveAfter {
-			return m, true
+		if !ok || n.answeredAt(m.id).Before(n.answeredAt(silent.id)) {
+			silent, ok = m, true
 		}
 	}
-	return Member{}, false
+	return silent, ok
 }
 
-// mayChangeVoters reports whether the last voter change and an entry of the
-// current term are committed. With two voter changes pending at once, there
-// could be two majorities without a common member. Until an entry of the current
-// term is committed, a change by an earlier leader may still be pending on other
-// replicas.
-func (n *Node) mayChangeVoters() bool {
+// mayChangeVoters reports whether this leader is in contact with a quorum, and the last
+// voter change and an entry of the current term are committed. To a leader that stood
+// still, all voters have been silent, and a voter change counts before it is committed.
+// With two voter changes pending at once, there could be two majorities without a common
+// member. Until an entry of the current term is committed, a change by an earlier leader
+// may still be pending on other replicas.
+func (n *Node) mayChangeVoters(now time.Time) bool {
 	_, changeIndex := n.log.voters()
-	term, ok := n.log.term(n.commitIndex)
-	return changeIndex <= n.commitIndex && ok && term == n.hardState.term
+	return n.hasLiveLeader(now) && changeIndex <= n.commitIndex && n.commitInCurrentTerm()
 }
 
 // rejoinAfter is how long a voter waits for a leader before it asks to be added again.
--- a/core/process/replica/membership_test.go
+++ b/core/process/replica/membership_test.go
@@ -13,12 +13,34 @@
 type membershipRun struct {
 	cluster          *cluster
 	publishedVersion uint64
+	// lostDisks holds the VMs whose lost disk is not replaced by another voter yet.
+	lostDisks map[string]bool
 }
 
-// mayLoseDisk reports whether a VM may lose its disk now. It may not if, in any
-// stored set of n voters, more than (n-1)/2 incarnations would be lost, because
-// the remaining ones might then lack committed entries.
+// mayLoseDisk reports whether a VM may lose its disk now.
 func (run *membershipRun) mayLoseDisk(vm string) bool {
+	if !run.withinLossLimit(vm) && !run.keepsMajorities(vm) {
+		return false
+	}
+	run.lostDisks[vm] = true
+	return true
+}
+
+// withinLossLimit reports whether so few disks are lost that the loss of one more is borne: with
+// n wanted voters (n-1)/2 at a time, of which each counts until there are as many voters
+// again. Voters that are stopped, frozen or cut off do not count, as their disks are sound.
+func (run *membershipRun) withinLossLimit(vm string) bool {
+	others := len(run.lostDisks)
+	if run.lostDisks[vm] {
+		others--
+	}
+	return others < (run.cluster.voterCount-1)/2
+}
+
+// keepsMajorities reports whether no stored set of n voters lacks more than (n-1)/2
+// incarnations if a VM loses its disk. The remaining ones might otherwise lack committed
+// entries.
+func (run *membershipRun) keepsMajorities(vm string) bool {
 	remaining := make(map[ID]bool)
 	for _, m := range run.cluster.vms {
 		if m.name != vm {
@@ -46,6 +68,25 @@
 	return true
 }
 
+// forgetRepairedDisks forgets the lost disks once a leader has committed a set of the wanted
+// number of voters without one whose disk is lost.
+func (run *membershipRun) forgetRepairedDisks() {
+	leader := run.cluster.leader()
+	if leader == nil {
+		return
+	}
+	voters, index := leader.node.log.voters()
+	if index > leader.node.commitIndex || len(voters.members) < run.cluster.voterCount {
+		return
+	}
+	for _, v := range voters.members {
+		if run.cluster.vms[v.vm].id != v.id {
+			return
+		}
+	}
+	clear(run.lostDisks)
+}
+
 // step takes one random step: it lets time pass, publishes, or begins or ends a fault.
 func (run *membershipRun) step(action, choice int) {
 	c := run.cluster
@@ -83,6 +124,7 @@
 		c.restartAll()
 	}
 	c.join()
+	run.forgetRepairedDisks()
 	run.checkRoutes()
 }
 
@@ -205,7 +247,7 @@
 // It returns a description of the first violation or of the failed recovery, or ""
 // if there was neither.
 func runMembershipSeed(vmNames []string, voterCount int, seed uint64, steps int) string {
-	run := &membershipRun{cluster: newClusterWithVMs(vmNames, voterCount, seed, injectedBugs{})}
+	run := &membershipRun{cluster: newClusterWithVMs(vmNames, voterCount, seed, injectedBugs{}), lostDisks: make(map[string]bool)}
 	for range 20 {
 		run.cluster.join()
 		run.cluster.advance(250 * time.Millisecond)
--- a/core/process/replica/replacement_test.go
+++ b/core/process/replica/replacement_test.go
@@ -75,3 +75,38 @@
 	}
 	return out
 }
+
+// Guards against a set of voters that has one less while a voter is replaced: if the voter
+// that is replaced has a sound disk and another one loses its disk at that time, the
+// remaining set can never have a majority again, though two of three disks are sound.
+func TestLostDiskWhileAFrozenVoterIsReplaced(t *testing.T) {
+	const frozenFor = 6 * time.Second
+	for _, lostLeader := range []bool{false, true} {
+		for after := 2300 * time.Millisecond; after < 3200*time.Millisecond; after += 20 * time.Millisecond {
+			t.Run(fmt.Sprintf("lost after %v, leader %t", after, lostLeader), func(t *testing.T) {
+				c := newClusterWithVMs([]string{"vm-1", "vm-2", "vm-3", "vm-4"}, 3, uint64(after), injectedBugs{})
+				c.settle()
+				leader := c.leader()
+				assert.Assert(t, leader != nil)
+				c.propose(leader.name, NewPublishRoutes(1, []byte("text")))
+				c.settle()
+
+				followers := c.followersOf(leader)
+				frozen, lost := followers[0], followers[1]
+				if lostLeader {
+					lost = leader
+				}
+				frozen.frozenUntil = c.now.Add(frozenFor)
+				c.advance(after)
+				c.crash(lost.name, true)
+				c.advance(time.Second)
+				c.start(lost.name)
+				c.advance(frozenFor)
+				c.settle()
+				assert.Assert(t, c.leader() != nil, "there is no leader")
+				assert.Equal(t, c.leader().state.Routes().Version(), uint64(1))
+				assert.Equal(t, len(c.leader().node.Voters().Members()), 3)
+			})
+		}
+	}
+}
--- a/core/process/replica/replication.go
+++ b/core/process/replica/replication.go
@@ -221,7 +221,7 @@
 
 // stepAppendReply updates the progress of a replica and sends what it lacks. A
 // reply without a match moves nextIndex back. A reply with a match may also
-// commit entries and make a learner a voter.
+// commit entries and change the voters.
 func (n *Node) stepAppendReply(from Member, m AppendReply, now time.Time) {
 	if m.term > n.hardState.term {
 		n.becomeFollower(m.term, Member{}, now)
@@ -252,6 +252,7 @@
 		return
 	}
 	n.promoteLearner(from, now)
+	n.removeSurplusVoter(now)
 	n.sendAppend(from, now, false)
 }
 
