discovery: entries of an unconfigured service hide no target

Cause: another writer has added complete entries with the targets' ids, of a service that no configuration names. Of several entries with one id the list kept one that is leaving, or else the first by address and service name; the target then belonged to a service without a route.

Ruled out: the decoder (the entries are complete and valid), and a check of the service when the list is read, since targets are listed before the configuration that names their service, and VMs read the list and the configuration in any order.

Fix: the list keeps one entry for each id and service, and its difference, on the way to other VMs, counts all entries of an id as changed if one is. The VM that sends requests selects one of those with the same id, of a service that its configuration declares if there is one, and selects again when that changes.

--- a/core/process/cluster/adopt.go
+++ b/core/process/cluster/adopt.go
@@ -52,7 +52,8 @@
 	changed := first || !difference.Empty()
 	if changed {
 		c.log.Info("target list changed", zap.Int("targets", len(list.Instances())),
-			zap.Int("changed", len(difference.Changed())), zap.Int("removed", len(difference.Removed())))
+			zap.Int("changed", len(difference.Changed())), zap.Int("removed", len(difference.Removed())),
+			zap.Int("ambiguous-ids", list.AmbiguousIDs()))
 	}
 	c.observer.TargetsRead(list, changed, now)
 	return true
--- a/core/process/discovery/discovery.go
+++ b/core/process/discovery/discovery.go
@@ -84,30 +84,35 @@
 // list was read, 0 if it is not cold.
 func (i Instance) ColdFor() time.Duration { return i.coldFor }
 
-// List is the result of one read of the external list, sorted by instance id.
+// List is the result of one read of the external list, sorted by instance id and service.
 type List struct {
 	instances      []Instance
 	sequenceNumber uint64
 	readAt         time.Time
 }
 
-// NewList returns the list of instances that a read yielded. Of those with the same id it
-// has one, in whatever order they come: one that is leaving, if there is one, since requests
-// to a target that ends are lost. The sequence number must be one higher than the highest
+// NewList returns the list of instances that a read yielded. Of those with the same id and
+// service it has one, in whatever order they come: one that is leaving, if there is one, since
+// requests to a target that ends are lost. Of those with the same id and several services,
+// Select chooses one. The sequence number must be one higher than the highest
 // that this VM knew when the read began. A VM that was suspended during a read therefore
 // cannot present its outdated result as the newest.
 func NewList(instances []Instance, sequenceNumber uint64, readAt time.Time) List {
 	sorted := append([]Instance(nil), instances...)
 	slices.SortFunc(sorted, Instance.compare)
-	sorted = slices.CompactFunc(sorted, func(a, b Instance) bool { return a.id == b.id })
+	sorted = slices.CompactFunc(sorted, func(a, b Instance) bool { return a.id == b.id && a.service == b.service })
 	return List{instances: sorted, sequenceNumber: sequenceNumber, readAt: readAt}
 }
 
-// compare orders instances by id. Of those with one id, one that is leaving comes first.
+// compare orders instances by id and service. Of those with the same ones, the preferred
+// one comes first.
 func (i Instance) compare(other Instance) int {
-	if order := strings.Compare(i.id, other.id); order != 0 {
-		return order
-	}
+	return cmp.Or(strings.Compare(i.id, other.id), strings.Compare(i.service, other.service), i.comparePreference(other))
+}
+
+// comparePreference orders instances with one id. One that is leaving comes first. The rest of
+// the order only makes all VMs choose the same one.
+func (i Instance) comparePreference(other Instance) int {
 	switch {
 	case i.leaving && !other.leaving:
 		return -1
@@ -119,9 +124,75 @@
 		cmp.Compare(i.slots, other.slots), cmp.Compare(i.coldFor, other.coldFor))
 }
 
-// Instances returns the instances, sorted by id.
+// Instances returns all instances, sorted by id and service. An id has more than one if
+// another writer has added an entry with the id of a target.
 func (l List) Instances() []Instance { return l.instances }
 
+// Select returns one instance for each id, sorted by id. Of several it is one of a service that
+// is declared, if there is one: an entry of any other service names no target, and must not
+// take the place of one that does.
+func (l List) Select(declared func(service string) bool) []Instance {
+	selected := make([]Instance, 0, len(l.instances))
+	for entries := range l.byID {
+		selected = append(selected, preferred(entries, declared))
+	}
+	return selected
+}
+
+// SelectAmbiguous is Select for the ids that have several instances.
+func (l List) SelectAmbiguous(declared func(service string) bool) []Instance {
+	var selected []Instance
+	for entries := range l.byID {
+		if len(entries) > 1 {
+			selected = append(selected, preferred(entries, declared))
+		}
+	}
+	return selected
+}
+
+// AmbiguousIDs returns the number of ids that have several instances.
+func (l List) AmbiguousIDs() int {
+	n := 0
+	for entries := range l.byID {
+		if len(entries) > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// byID yields the instances of each id.
+func (l List) byID(yield func(entries []Instance) bool) {
+	for start := 0; start < len(l.instances); {
+		end := l.endOfID(start)
+		if !yield(l.instances[start:end]) {
+			return
+		}
+		start = end
+	}
+}
+
+// endOfID returns the position after the instances that have the id of the one at start.
+func (l List) endOfID(start int) int {
+	end := start + 1
+	for end < len(l.instances) && l.instances[end].id == l.instances[start].id {
+		end++
+	}
+	return end
+}
+
+// preferred returns the instance to use of those with one id.
+func preferred(entries []Instance, declared func(service string) bool) Instance {
+	best := entries[0]
+	for _, i := range entries[1:] {
+		isDeclared, bestDeclared := declared(i.service), declared(best.service)
+		if isDeclared && !bestDeclared || isDeclared == bestDeclared && i.comparePreference(best) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
 // SequenceNumber returns the number that orders the reads of all VMs.
 func (l List) SequenceNumber() uint64 { return l.sequenceNumber }
 
@@ -158,26 +229,29 @@
 
 // Compare returns the difference that turns the list from into the list to. The
 // remaining cold time decreases on its own, so only a switch between cold and
-// not cold counts as a change.
+// not cold counts as a change. If one of several instances with one id has changed, all of
+// them count as changed.
 func Compare(from, to List) Difference {
 	var d Difference
 	i := 0
-	for _, next := range to.instances {
-		for i < len(from.instances) && from.instances[i].id < next.id {
+	for next := range to.byID {
+		for i < len(from.instances) && from.instances[i].id < next[0].id {
 			d.removed = append(d.removed, from.instances[i].id)
-			i++
+			i = from.endOfID(i)
 		}
-		if i == len(from.instances) || from.instances[i].id != next.id {
-			d.changed = append(d.changed, next)
-			continue
+		var previous []Instance
+		if i < len(from.instances) && from.instances[i].id == next[0].id {
+			end := from.endOfID(i)
+			previous = from.instances[i:end]
+			i = end
 		}
-		if !equalIgnoringColdTime(from.instances[i], next) {
-			d.changed = append(d.changed, next)
+		if !slices.EqualFunc(previous, next, equalIgnoringColdTime) {
+			d.changed = append(d.changed, next...)
 		}
-		i++
 	}
-	for ; i < len(from.instances); i++ {
+	for i < len(from.instances) {
 		d.removed = append(d.removed, from.instances[i].id)
+		i = from.endOfID(i)
 	}
 	return d
 }
--- a/core/process/discovery/discovery_test.go
+++ b/core/process/discovery/discovery_test.go
@@ -22,14 +22,18 @@
 	instances := rapid.Custom(func(rt *rapid.T) []discovery.Instance {
 		var out []discovery.Instance
 		for id := range 8 {
-			// The value 0 leaves the instance out.
-			switch rapid.IntRange(0, 3).Draw(rt, "what") {
+			// The value 0 leaves the instance out. The value 4 adds an entry of another
+			// writer to it.
+			switch rapid.IntRange(0, 4).Draw(rt, "what") {
 			case 1:
 				out = append(out, newInstance(fmt.Sprint(id)))
 			case 2:
 				out = append(out, newInstance(fmt.Sprint(id)).WithLeaving(true))
 			case 3:
 				out = append(out, discovery.NewInstance(fmt.Sprint(id), "s-2", "10.0.0.2:80", "dc-2", 4))
+			case 4:
+				foreign := discovery.NewInstance(fmt.Sprint(id), "s-0", "10.0.0.1:80", "dc-1", 2)
+				out = append(out, newInstance(fmt.Sprint(id)), foreign.WithLeaving(rapid.Bool().Draw(rt, "leaving")))
 			}
 		}
 		return out
@@ -55,24 +59,34 @@
 	assert.Equal(t, list.Apply(update, 2, startTime).Instances()[0], odd)
 }
 
-// Of two entries with one id the same must be kept in whatever order they come, or the
-// target would be replaced at each read; and one that is leaving, or requests would go to a
+// Of several entries with one id the same must be used in whatever order they come, or the
+// target would be replaced at each read; one of a declared service, or an entry of another
+// writer would hide the target; and of these one that is leaving, or requests would go to a
 // target until it ends.
 func TestEntriesWithOneIDInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
+		isDeclared := map[string]bool{"s-1": rapid.Bool().Draw(rt, "s-1 is declared"), "s-2": rapid.Bool().Draw(rt, "s-2 is declared")}
+		declared := func(service string) bool { return isDeclared[service] }
 		entries := []discovery.Instance{newInstance("i-2")}
-		leaving := false
+		leaving := make(map[bool]bool)
+		anyDeclared := false
 		for range rapid.IntRange(1, 4).Draw(rt, "entries") {
 			e := discovery.NewInstance("i-1", rapid.SampledFrom([]string{"s-1", "s-2"}).Draw(rt, "service"), rapid.SampledFrom([]string{"10.0.0.1:80", "10.0.0.9:80"}).Draw(rt, "address"), "dc-1", 2).
 				WithLeaving(rapid.Bool().Draw(rt, "leaving"))
-			leaving = leaving || e.Leaving()
+			leaving[declared(e.Service())] = leaving[declared(e.Service())] || e.Leaving()
+			anyDeclared = anyDeclared || declared(e.Service())
 			entries = append(entries, e)
 		}
 		list := discovery.NewList(entries, 1, startTime)
-		assert.Equal(rt, len(list.Instances()), 2)
-		assert.Equal(rt, list.Instances()[0].Leaving(), leaving)
+		selected := list.Select(declared)
+		assert.Equal(rt, len(selected), 2)
+		assert.Equal(rt, declared(selected[0].Service()), anyDeclared)
+		assert.Equal(rt, selected[0].Leaving(), leaving[anyDeclared])
 		shuffled := rapid.Permutation(entries).Draw(rt, "order")
 		assert.Equal(rt, fmt.Sprint(discovery.NewList(shuffled, 1, startTime)), fmt.Sprint(list))
+		if ambiguous := list.SelectAmbiguous(declared); len(ambiguous) > 0 {
+			assert.DeepEqual(rt, fmt.Sprint(ambiguous), fmt.Sprint(selected[:1]))
+		}
 	})
 }
 
--- a/core/process/gateway/entry.go
+++ b/core/process/gateway/entry.go
@@ -160,6 +160,7 @@
 		return
 	}
 	e.dispatcher.SetTable(t)
+	e.pool.CloseAddresses(e.fleet.ReselectTargets(now))
 	e.confirmation.PutInForce(routes.Revision(), t.DeclaresTeams())
 	if e.intake != nil {
 		e.intake.SetLimits(intake.NewLimits(t.Limits().HeaderBytes(), t.Limits().HeaderTimeout()))
--- a/core/process/placement/fleet.go
+++ b/core/process/placement/fleet.go
@@ -61,8 +61,11 @@
 	latencies map[string]*latency
 	byID      map[string]*Target
 	departed  map[string]departed
-	// listReadAt is when the latest list was read.
-	listReadAt   time.Time
+	// list is the latest list with changes, and listReadAt when a list was last read.
+	list       discovery.List
+	listReadAt time.Time
+	// table is the latest table of SetServices, nil before the first.
+	table        *routing.Table
 	times        TargetTimes
 	changes      []TargetChange
 	outOfService map[string]bool
@@ -210,9 +213,11 @@
 
 // SetServices sets the declarations of the services that the routes of a
 // routing table use. The last declaration of any other service stays in effect.
+// ReselectTargets must be called after it.
 func (f *Fleet) SetServices(t *routing.Table) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.table = t
 	for _, g := range f.groups {
 		g.routed = false
 	}
@@ -243,12 +248,11 @@
 func (f *Fleet) SetTargets(list discovery.List, now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	listed := make(map[string]bool, len(list.Instances()))
-	addresses := make(map[string]bool, len(list.Instances()))
+	f.list = list
 	var removed []*Target
-	for _, i := range list.Instances() {
+	listed := make(map[string]bool, len(list.Instances()))
+	for _, i := range list.Select(f.declares) {
 		listed[i.ID()] = true
-		addresses[i.Address()] = true
 		if replaced := f.upsert(i, list.ReadAt(), now); replaced != nil {
 			removed = append(removed, replaced)
 		}
@@ -260,18 +264,60 @@
 			removed = append(removed, t)
 		}
 	}
-	var unusedAddresses []string
-	for _, t := range removed {
-		if !addresses[t.instance.Address()] {
-			unusedAddresses = append(unusedAddresses, t.instance.Address())
+	f.listReadAt = list.ReadAt()
+	f.targetsChanged(now)
+	return f.unusedAddresses(removed)
+}
+
+// ReselectTargets applies the services of the latest table to the targets of which the list
+// has several instances with one id. It returns addresses as SetTargets does.
+func (f *Fleet) ReselectTargets(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var removed []*Target
+	for _, i := range f.list.SelectAmbiguous(f.declares) {
+		if f.byID[i.ID()].instance.Service() != i.Service() {
+			removed = append(removed, f.upsert(i, f.listReadAt, now))
 		}
 	}
-	f.listReadAt = list.ReadAt()
+	if len(removed) == 0 {
+		return nil
+	}
+	f.targetsChanged(now)
+	return f.unusedAddresses(removed)
+}
+
+// declares reports whether the latest table declares a service. The caller holds f.mu.
+func (f *Fleet) declares(service string) bool {
+	if f.table == nil {
+		return false
+	}
+	_, ok := f.table.Service(service)
+	return ok
+}
+
+// targetsChanged updates what depends on the set of targets. The caller holds f.mu.
+func (f *Fleet) targetsChanged(now time.Time) {
 	for _, g := range f.groups {
 		g.updateVersions()
 	}
 	f.grantAllWaiting(now)
-	return unusedAddresses
+}
+
+// unusedAddresses returns the addresses of removed targets that no target uses. The caller
+// holds f.mu.
+func (f *Fleet) unusedAddresses(removed []*Target) []string {
+	used := make(map[string]bool, len(f.byID))
+	for _, t := range f.byID {
+		used[t.instance.Address()] = true
+	}
+	var out []string
+	for _, t := range removed {
+		if !used[t.instance.Address()] {
+			out = append(out, t.instance.Address())
+		}
+	}
+	return out
 }
 
 // upsert adds a target or updates it. If its service, address or version has changed, it
