control: TestChangesAreAcknowledgedAfterFullDisks holds its clock between the steps

The test refused a landing by chance: its clock added real time to the simulated steps, so that on a slow disk a simulated second had two or three steps and no change could go round. The clock of the loop now takes the source of its time as a field, and the test gives it one that stands still between the steps. Checks and bounds are unchanged.

--- a/core/process/control/fulldisk_test.go
+++ b/core/process/control/fulldisk_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/journal"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 )
@@ -107,6 +108,7 @@
 // changes.
 type fullDiskRun struct {
 	network *network
+	clock   *heldClock
 	disks   map[string]*fullDisk
 	rng     *rand.Rand
 	waiting []sentChange
@@ -120,7 +122,7 @@
 // advance lets time pass while changes are sent.
 func (r *fullDiskRun) advance(t *testing.T, d time.Duration) {
 	for end := r.network.clock.now().Add(d); r.network.clock.now().Before(end); {
-		r.network.clock.base = r.network.clock.base.Add(networkStep)
+		r.clock.advance(networkStep)
 		r.network.step(t)
 		r.send()
 	}
@@ -166,8 +168,8 @@
 		t.Run(fmt.Sprintf("seed %d, %d of %d", seed, shape.voters, shape.vms), func(t *testing.T) {
 			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 7))
-			r := &fullDiskRun{disks: make(map[string]*fullDisk), rng: rng, documentSize: 100 + rng.IntN(60_000)}
-			r.network = newNetworkOf(t, shape.vms, shape.voters, func(name string) journal.Disk {
+			r := &fullDiskRun{clock: &heldClock{at: bootclock.Now()}, disks: make(map[string]*fullDisk), rng: rng, documentSize: 100 + rng.IntN(60_000)}
+			r.network = newNetworkOf(t, newMonotonicClockOf(r.clock.now), shape.vms, shape.voters, func(name string) journal.Disk {
 				r.disks[name] = &fullDisk{Disk: journal.SystemDisk(), rng: rand.New(rand.NewPCG(seed, 8))}
 				return r.disks[name]
 			})
--- a/core/process/control/leadership.go
+++ b/core/process/control/leadership.go
@@ -65,7 +65,7 @@
 
 // leadership returns the state of the leadership. now is the time of the replica.
 func (c *Control) leadership(now time.Time) Leadership {
-	running := !c.clock.base.IsZero()
+	running := c.clock.bootNow != nil
 	if !running || c.node.Role() != replica.Leader {
 		return Leadership{}
 	}
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -19,15 +19,22 @@
 type monotonicClock struct {
 	base time.Time
 	boot bootclock.Time
+	// bootNow returns the present time.
+	bootNow func() bootclock.Time
 }
 
 // newMonotonicClock returns a clock that starts at the present time.
 func newMonotonicClock() monotonicClock {
-	return monotonicClock{base: time.Now().Round(0), boot: bootclock.Now()}
+	return newMonotonicClockOf(bootclock.Now)
+}
+
+// newMonotonicClockOf returns a clock that follows bootNow.
+func newMonotonicClockOf(bootNow func() bootclock.Time) monotonicClock {
+	return monotonicClock{base: time.Now().Round(0), boot: bootNow(), bootNow: bootNow}
 }
 
 func (c monotonicClock) now() time.Time {
-	return c.base.Round(0).Add(bootclock.Now().Sub(c.boot))
+	return c.base.Round(0).Add(c.bootNow().Sub(c.boot))
 }
 
 // bootTime returns the time of bootclock at which this clock returned or will return t.
--- a/core/process/control/paused_test.go
+++ b/core/process/control/paused_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/journal"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 )
@@ -49,13 +50,21 @@
 
 // newNetwork opens three control VMs.
 func newNetwork(t *testing.T) *network {
-	return newNetworkOf(t, 3, 3, func(string) journal.Disk { return journal.SystemDisk() })
+	return newNetworkOf(t, newMonotonicClock(), 3, 3, func(string) journal.Disk { return journal.SystemDisk() })
 }
 
+// heldClock is a clock that stands still between the steps of a test. What the test's own
+// calls take, such as a sync of a slow disk, then changes nothing in simulated time.
+type heldClock struct{ at bootclock.Time }
+
+func (c *heldClock) now() bootclock.Time { return c.at }
+
+func (c *heldClock) advance(d time.Duration) { c.at = c.at.Add(d) }
+
 // newNetworkOf opens a number of control VMs, of which some become voters. diskOf returns the
 // disk of a VM.
-func newNetworkOf(t *testing.T, vms, voters int, diskOf func(name string) journal.Disk) *network {
-	n := &network{clock: newMonotonicClock(), vms: make(map[string]*Control), queues: make(map[string][]delivery)}
+func newNetworkOf(t *testing.T, clock monotonicClock, vms, voters int, diskOf func(name string) journal.Disk) *network {
+	n := &network{clock: clock, vms: make(map[string]*Control), queues: make(map[string][]delivery)}
 	for i := range vms {
 		name := fmt.Sprintf("vm-%d", i+1)
 		n.names = append(n.names, name)
--- a/core/process/control/proof_test.go
+++ b/core/process/control/proof_test.go
@@ -48,6 +48,6 @@
 	at := c.bootTime(c.now())
 	after := bootclock.Now()
 	assert.Assert(t, !at.Before(before) && !after.Before(at), "%v, %v, %v", before, at, after)
-	suspended := monotonicClock{base: c.base, boot: c.boot.Add(-time.Hour)}
+	suspended := monotonicClock{base: c.base, boot: c.boot.Add(-time.Hour), bootNow: bootclock.Now}
 	assert.Assert(t, suspended.now().Sub(c.base) >= time.Hour)
 }
