--- a/core/process/bootclock/bootclock.go
+++ b/core/process/bootclock/bootclock.go
@@ -11,7 +11,7 @@
 
 // Time is the time since the machine was started, including the time for which it was
 // suspended. It is not affected by changes of the time of day and must not be compared
-// with that of another machine.
+// with that of another machine. The zero value can stand for a time that is not known.
 type Time time.Duration
 
 // Now returns the present time. If the kernel does not provide the clock, the result is
@@ -32,3 +32,9 @@
 
 // Before reports whether t is earlier than u.
 func (t Time) Before(u Time) bool { return t < u }
+
+// After reports whether t is later than u.
+func (t Time) After(u Time) bool { return t > u }
+
+// IsZero reports whether t is the zero value.
+func (t Time) IsZero() bool { return t == 0 }
--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -25,6 +25,7 @@
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
 	"github.com/mulberrydale/mulberrydale/core/connection/session"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/health"
@@ -177,7 +178,7 @@
 // in a data folder. Control VMs join the log as voters until it has wantedVoters
 // of them. It is called before Run. The errors are those of control.Open and
 // control.RecordFirstStart.
-func (c *Cluster) EnableControl(folder string, wantedVoters int, now time.Time) error {
+func (c *Cluster) EnableControl(folder string, wantedVoters int, now bootclock.Time) error {
 	role, err := control.Open(folder, c.self.address, nil, wantedVoters, c, c, c.log, now)
 	if err != nil {
 		return err
--- a/core/process/cluster/installation_test.go
+++ b/core/process/cluster/installation_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/confirmation"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
@@ -235,7 +236,7 @@
 	p.cluster = cluster.New(identity, in.seeds, reader, p.observer, zap.NewNop())
 	p.observer.holder = p.cluster.Confirmation()
 	if folder != "" {
-		assert.NilError(in.t, p.cluster.EnableControl(folder, 3, time.Now()))
+		assert.NilError(in.t, p.cluster.EnableControl(folder, 3, bootclock.Now()))
 	} else {
 		p.cluster.SetFindingSource(p.findings)
 		p.cluster.SetSlownessSource(&p.slowness)
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -249,7 +249,8 @@
 // PeerStatuses returns the statuses of other control VMs by address. The seeds
 // are always included, with a zero status while they are not alive; other control
 // VMs only if they are alive and have a log.
-func (c *Cluster) PeerStatuses(now time.Time) map[string]control.PeerStatus {
+func (c *Cluster) PeerStatuses() map[string]control.PeerStatus {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make(map[string]control.PeerStatus)
--- a/core/process/cluster/rollout_test.go
+++ b/core/process/cluster/rollout_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
@@ -39,7 +40,7 @@
 	c := cluster.New(cluster.NewIdentity("control-0", address, "dc-1", "s", true), []string{address}, list, observer, zap.NewNop())
 	observer.holder = c.Confirmation()
 	c.SetRollouts(bounds, nil)
-	assert.NilError(t, c.EnableControl(t.TempDir(), 1, time.Now()))
+	assert.NilError(t, c.EnableControl(t.TempDir(), 1, bootclock.Now()))
 	p := &process{cluster: c, done: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberrydale/mulberrydale/core/process/audit"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/journal"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -52,8 +53,10 @@
 // Peers provides the statuses of the other control VMs.
 type Peers interface {
 	// PeerStatuses returns the statuses of the other control VMs by member name,
-	// with a zero PeerStatus for each one that is expected but not alive.
-	PeerStatuses(now time.Time) map[string]PeerStatus
+	// with a zero PeerStatus for each one that is expected but not alive. Whether one
+	// is alive is decided by the clock of the implementation, since the times of two
+	// clocks can't be compared.
+	PeerStatuses() map[string]PeerStatus
 	// MayBootstrap reports whether this VM may bootstrap the log. If it is false,
 	// a VM without a log can only join an existing one.
 	MayBootstrap() bool
@@ -103,15 +106,15 @@
 	bytesSinceCompact int
 	// journalFailedAt is when the first write to the journal failed, zero while
 	// the journal is writable.
-	journalFailedAt time.Time
+	journalFailedAt bootclock.Time
 	// journalRetryAt is when the next write is attempted after a failure.
-	journalRetryAt time.Time
-	lastJoinAt     time.Time
+	journalRetryAt bootclock.Time
+	lastJoinAt     bootclock.Time
 	loggedLeader   string
 	caughtUp       bool
-	openedAt       time.Time
+	openedAt       bootclock.Time
 	// clock is the clock of the latest step.
-	clock monotonicClock
+	clock clock
 
 	// stateMu guards state, which is shared between the loop and callers of
 	// Audit.
@@ -138,7 +141,7 @@
 // the leader.
 type readRequest struct {
 	index     uint64
-	startedAt time.Time
+	startedAt bootclock.Time
 	reply     chan<- readResult
 }
 
@@ -164,7 +167,7 @@
 // If wantedVoters is 0, only configuredVMs may be voters. Otherwise any VM may join,
 // up to that number of voters. The errors are those of journal.Open and
 // journal.Append, and JournalDamaged if a record or snapshot can't be decoded.
-func Open(folder, vm string, configuredVMs []string, wantedVoters int, sender Sender, peers Peers, log *zap.Logger, now time.Time) (*Control, error) {
+func Open(folder, vm string, configuredVMs []string, wantedVoters int, sender Sender, peers Peers, log *zap.Logger, now bootclock.Time) (*Control, error) {
 	j, records, err := journal.Open(folder)
 	if err != nil {
 		return nil, err
@@ -178,7 +181,7 @@
 }
 
 // open is Open for a journal that is open already, with its records.
-func open(j *journal.Journal, records [][]byte, vm string, configuredVMs []string, wantedVoters int, sender Sender, peers Peers, log *zap.Logger, now time.Time) (*Control, error) {
+func open(j *journal.Journal, records [][]byte, vm string, configuredVMs []string, wantedVoters int, sender Sender, peers Peers, log *zap.Logger, now bootclock.Time) (*Control, error) {
 	id, persisted, err := replayJournal(records)
 	if err != nil {
 		return nil, err
--- a/core/process/control/control_test.go
+++ b/core/process/control/control_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
@@ -17,9 +18,9 @@
 // noPeers implements Sender and Peers for a control VM that is the only one.
 type noPeers struct{}
 
-func (noPeers) SendEnvelope(string, []byte)                  {}
-func (noPeers) PeerStatuses(time.Time) map[string]PeerStatus { return nil }
-func (noPeers) MayBootstrap() bool                           { return true }
+func (noPeers) SendEnvelope(string, []byte)         {}
+func (noPeers) PeerStatuses() map[string]PeerStatus { return nil }
+func (noPeers) MayBootstrap() bool                  { return true }
 
 // controlLoop runs a control role.
 type controlLoop struct{ control *Control }
@@ -29,7 +30,7 @@
 // startSingle starts the only control VM and waits until it is the leader.
 func startSingle(t *testing.T, folder string) *Control {
 	t.Helper()
-	c, err := Open(folder, "vm-1", nil, 1, noPeers{}, noPeers{}, zap.NewNop(), time.Now())
+	c, err := Open(folder, "vm-1", nil, 1, noPeers{}, noPeers{}, zap.NewNop(), bootclock.Now())
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/core/process/control/faults.go
+++ b/core/process/control/faults.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
@@ -20,7 +21,7 @@
 // output is discarded: the records are part of that state and replicas resend lost
 // messages. A snapshot in the output is part of that state too, from which
 // recoverJournal installs it. All waiting proposals and reads fail.
-func (c *Control) failJournal(err error, now time.Time) {
+func (c *Control) failJournal(err error, now bootclock.Time) {
 	c.journalRetryAt = now.Add(journalRetryInterval)
 	if c.journalFailedAt.IsZero() {
 		c.journalFailedAt = now
@@ -38,7 +39,7 @@
 // journalRetryInterval. It then installs a snapshot that the replica received
 // meanwhile. It reports whether the replica may participate again. The error is
 // that of installSnapshot.
-func (c *Control) recoverJournal(now time.Time) (bool, error) {
+func (c *Control) recoverJournal(now bootclock.Time) (bool, error) {
 	c.node.TakeOutput()
 	if now.Before(c.journalRetryAt) {
 		return false, nil
@@ -53,7 +54,7 @@
 		}
 	}
 	c.log.Info("journal is writable again", zap.Duration("after", now.Sub(c.journalFailedAt)))
-	c.journalFailedAt = time.Time{}
+	c.journalFailedAt = 0
 	c.node.MarkSynced(now)
 	return true, nil
 }
@@ -99,7 +100,7 @@
 
 // beginRead records the index that must be applied before the read is answered,
 // and sends heartbeats at once to confirm that this replica is still the leader.
-func (c *Control) beginRead(r readRequest, now time.Time) {
+func (c *Control) beginRead(r readRequest, now bootclock.Time) {
 	index, ok := c.node.ReadIndex()
 	if !ok || !c.journalFailedAt.IsZero() {
 		c.answers = append(c.answers, readAnswer{reply: r.reply, result: readResult{err: result.New(result.NoQuorum, "this VM is not the leader")}})
@@ -114,7 +115,7 @@
 // finishReads answers the reads for which a quorum has confirmed the leadership
 // since they began and whose index is applied. If this replica is no longer the
 // leader, all waiting reads and proposals fail.
-func (c *Control) finishReads(now time.Time) {
+func (c *Control) finishReads(now bootclock.Time) {
 	at, leads := c.node.LastQuorumContact(now)
 	if !leads {
 		if c.node.Role() != replica.Leader && (len(c.reads) > 0 || len(c.pending) > 0) {
--- a/core/process/control/faults_test.go
+++ b/core/process/control/faults_test.go
@@ -9,13 +9,14 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/replica"
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
 
 // openLeader opens the only control VM without running its loop and steps it until
 // it leads.
-func openLeader(t *testing.T, folder string, clock monotonicClock) *Control {
+func openLeader(t *testing.T, folder string, clock clock) *Control {
 	t.Helper()
 	c, err := Open(folder, "vm-1", nil, 1, noPeers{}, noPeers{}, zap.NewNop(), clock.now())
 	assert.NilError(t, err)
@@ -34,7 +35,7 @@
 // failingStep is a call of failJournal in a goroutine of its own.
 type failingStep struct {
 	control *Control
-	clock   monotonicClock
+	clock   clock
 	done    chan struct{}
 }
 
@@ -46,7 +47,7 @@
 // A caller that has the answer to its change must not read a status of before it:
 // nobody receives the answer here until the status shows that the VM stepped down.
 func TestCallersAreAnsweredAfterTheStatusIsPublished(t *testing.T) {
-	clock := newMonotonicClock()
+	clock := newClock(bootclock.Now)
 	c := openLeader(t, t.TempDir(), clock)
 	reply := make(chan proposalResult)
 	c.pending[c.node.CommitIndex()+1] = proposal{reply: reply}
@@ -66,7 +67,7 @@
 // A change or read that is refused because the VM has just stepped down must not be
 // answered while the status still says that the VM leads.
 func TestRefusalsFollowTheStatus(t *testing.T) {
-	clock := newMonotonicClock()
+	clock := newClock(bootclock.Now)
 	tests := []struct {
 		name string
 		lose func(c *Control)
@@ -101,7 +102,7 @@
 // with entries goes on with them after catchUpTimeout.
 func TestEmptyReplicaWithoutLeaderHasNotCaughtUp(t *testing.T) {
 	for _, applied := range []uint64{0, 4} {
-		clock := newMonotonicClock()
+		clock := newClock(bootclock.Now)
 		c, err := Open(t.TempDir(), "vm-2", nil, 3, noPeers{}, noPeers{}, zap.NewNop(), clock.now())
 		assert.NilError(t, err)
 		c.applied = applied
@@ -119,14 +120,14 @@
 }
 
 func (s *peerSender) SendEnvelope(_ string, payload []byte) { s.outbox = append(s.outbox, payload) }
-func (s *peerSender) PeerStatuses(time.Time) map[string]PeerStatus {
+func (s *peerSender) PeerStatuses() map[string]PeerStatus {
 	return map[string]PeerStatus{s.peer: s.status()}
 }
 func (s *peerSender) MayBootstrap() bool { return false }
 
 // deliverUntilSnapshot passes the queued messages on, up to the first snapshot, and
 // reports whether there was one. onSnapshot is called before that is passed on.
-func (s *peerSender) deliverUntilSnapshot(t *testing.T, to *Control, clock monotonicClock, onSnapshot func()) bool {
+func (s *peerSender) deliverUntilSnapshot(t *testing.T, to *Control, clock clock, onSnapshot func()) bool {
 	t.Helper()
 	for _, payload := range s.outbox {
 		e, err := replica.DecodeEnvelope(payload)
@@ -146,7 +147,7 @@
 }
 
 // startWithSnapshot gives a leader routes of version 7 that only its snapshot holds.
-func startWithSnapshot(t *testing.T, leader *Control, clock monotonicClock) {
+func startWithSnapshot(t *testing.T, leader *Control, clock clock) {
 	t.Helper()
 	reply := make(chan proposalResult, 1)
 	leader.handle(proposal{command: replica.NewPublishRoutes(7, []byte("text")), reply: reply}, clock.now())
@@ -160,7 +161,7 @@
 // leader no longer has. Unless it is installed afterwards, the routes of this VM stay
 // at version 0.
 func TestSnapshotReceivedDuringJournalWriteErrorsIsInstalled(t *testing.T) {
-	clock := newMonotonicClock()
+	clock := newClock(bootclock.Now)
 	leader := openLeader(t, t.TempDir(), clock)
 	startWithSnapshot(t, leader, clock)
 	folder := t.TempDir()
--- a/core/process/control/fulldisk_test.go
+++ b/core/process/control/fulldisk_test.go
@@ -100,7 +100,7 @@
 // sentChange is a change that waits for its outcome.
 type sentChange struct {
 	version uint64
-	sentAt  time.Time
+	sentAt  bootclock.Time
 	reply   chan proposalResult
 }
 
@@ -112,7 +112,7 @@
 	disks   map[string]*fullDisk
 	rng     *rand.Rand
 	waiting []sentChange
-	sentAt  time.Time
+	sentAt  bootclock.Time
 	version uint64
 	// acknowledged is the highest version that was.
 	acknowledged uint64
@@ -169,7 +169,7 @@
 			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 7))
 			r := &fullDiskRun{clock: &heldClock{at: bootclock.Now()}, disks: make(map[string]*fullDisk), rng: rng, documentSize: 100 + rng.IntN(60_000)}
-			r.network = newNetworkOf(t, newMonotonicClockOf(r.clock.now), shape.vms, shape.voters, func(name string) journal.Disk {
+			r.network = newNetworkOf(t, newClock(r.clock.now), shape.vms, shape.voters, func(name string) journal.Disk {
 				r.disks[name] = &fullDisk{Disk: journal.SystemDisk(), rng: rand.New(rand.NewPCG(seed, 8))}
 				return r.disks[name]
 			})
--- a/core/process/control/leadership.go
+++ b/core/process/control/leadership.go
@@ -63,9 +63,9 @@
 	return now.Sub(l.quorumContact), l.hasQuorumContact
 }
 
-// leadership returns the state of the leadership. now is the time of the replica.
-func (c *Control) leadership(now time.Time) Leadership {
-	running := c.clock.bootNow != nil
+// leadership returns the state of the leadership.
+func (c *Control) leadership(now bootclock.Time) Leadership {
+	running := c.clock.now != nil
 	if !running || c.node.Role() != replica.Leader {
 		return Leadership{}
 	}
@@ -76,7 +76,7 @@
 		l.predecessorAge = max(l.predecessorAge, SettledAge)
 	}
 	if contact, ok := c.node.AcknowledgedContact(now); ok {
-		l.quorumContact = c.clock.bootTime(contact)
+		l.quorumContact = contact
 		l.hasQuorumContact = true
 	}
 	return l
--- a/core/process/control/leadership_test.go
+++ b/core/process/control/leadership_test.go
@@ -17,7 +17,7 @@
 func TestSettledLeadershipIsKnownAfterARestart(t *testing.T) {
 	for _, settle := range []bool{false, true} {
 		folder := t.TempDir()
-		c, err := Open(folder, "vm-1", nil, 1, noPeers{}, noPeers{}, zap.NewNop(), time.Now())
+		c, err := Open(folder, "vm-1", nil, 1, noPeers{}, noPeers{}, zap.NewNop(), bootclock.Now())
 		assert.NilError(t, err)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -11,41 +11,33 @@
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
 
-// monotonicClock returns times that changes of the wall clock do not affect and that
-// include the time for which the machine was suspended: a leader that was suspended must
-// not take its last contact with a quorum for a recent one. Each is the wall-clock time at
-// base plus the time elapsed since boot. It has no monotonic reading, because that would be
-// lost when the time is sent to another VM.
-type monotonicClock struct {
-	base time.Time
-	boot bootclock.Time
-	// bootNow returns the present time.
-	bootNow func() bootclock.Time
+// clock is the time of a loop. Decisions use the time of bootclock, which changes of the time
+// of day do not affect and which includes the time for which the machine was suspended: a
+// leader that was suspended must not take its last contact with a quorum for a recent one.
+type clock struct {
+	// now returns the present time.
+	now func() bootclock.Time
+	// startedAt is the present time at the start, and timeOfDay the time of day at it.
+	startedAt bootclock.Time
+	timeOfDay time.Time
 }
 
-// newMonotonicClock returns a clock that starts at the present time.
-func newMonotonicClock() monotonicClock {
-	return newMonotonicClockOf(bootclock.Now)
+// newClock returns a clock that starts at the present time.
+func newClock(now func() bootclock.Time) clock {
+	return clock{now: now, startedAt: now(), timeOfDay: time.Now().Round(0)}
 }
 
-// newMonotonicClockOf returns a clock that follows bootNow.
-func newMonotonicClockOf(bootNow func() bootclock.Time) monotonicClock {
-	return monotonicClock{base: time.Now().Round(0), boot: bootNow(), bootNow: bootNow}
-}
-
-func (c monotonicClock) now() time.Time {
-	return c.base.Round(0).Add(c.bootNow().Sub(c.boot))
-}
-
-// bootTime returns the time of bootclock at which this clock returned or will return t.
-func (c monotonicClock) bootTime(t time.Time) bootclock.Time {
-	return c.boot.Add(t.Sub(c.base.Round(0)))
+// appendTime returns the time of day that the log shows for an entry appended at a time. Later
+// changes of the time of day do not affect it, because all replicas remove what is outdated by
+// the times in the log.
+func (c clock) appendTime(at bootclock.Time) time.Time {
+	return c.timeOfDay.Add(at.Sub(c.startedAt))
 }
 
 // Run processes events and timers of the replica until ctx ends. It returns an
 // error if a snapshot sent by the leader can't be decoded; the role has then stopped.
 func (c *Control) Run(ctx context.Context) error {
-	clock := newMonotonicClock()
+	clock := newClock(bootclock.Now)
 	c.clock = clock
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -67,7 +59,7 @@
 }
 
 // nextWakeup returns how long the loop may wait for an event before a timer is due.
-func (c *Control) nextWakeup(now time.Time) time.Duration {
+func (c *Control) nextWakeup(now bootclock.Time) time.Duration {
 	if !c.journalFailedAt.IsZero() {
 		return journalRetryInterval
 	}
@@ -76,7 +68,7 @@
 
 // drainInbox handles up to maxBatch events that are already queued, so that they
 // share one sync of the journal.
-func (c *Control) drainInbox(now time.Time) {
+func (c *Control) drainInbox(now bootclock.Time) {
 	for range maxBatch {
 		select {
 		case e := <-c.inbox:
@@ -88,7 +80,7 @@
 }
 
 // handle passes an event to the replica.
-func (c *Control) handle(e event, now time.Time) {
+func (c *Control) handle(e event, now bootclock.Time) {
 	switch e := e.(type) {
 	case delivery:
 		c.node.Step(e.envelope, now)
@@ -104,12 +96,12 @@
 // propose appends a command, with the current time, to the log. It rejects the
 // command if this replica is not the leader or can't write its journal, and a stale
 // replica.Order with replica.OrderRejected.
-func (c *Control) propose(p proposal, now time.Time) {
+func (c *Control) propose(p proposal, now bootclock.Time) {
 	if !c.journalFailedAt.IsZero() {
 		c.rejectProposal(p, result.New(result.JournalUnusable, "the journal of this VM is not writable"))
 		return
 	}
-	command := replica.WithAppendTime(p.command, now)
+	command := replica.WithAppendTime(p.command, c.clock.appendTime(now))
 	if order, ok := command.(replica.Order); ok {
 		if c.node.Role() == replica.Leader && order.StaleAt(c.node.LastOrder()) {
 			c.answers = append(c.answers, proposalAnswer{reply: p.reply, result: proposalResult{outcome: replica.NewOrderRejected(c.node.LastOrder())}})
@@ -139,7 +131,7 @@
 // records are written and synced before messages that depend on them are sent, and
 // only then are committed entries applied. Callers get their results last, once the
 // status shows them.
-func (c *Control) step(clock monotonicClock) error {
+func (c *Control) step(clock clock) error {
 	now := clock.now()
 	c.clock = clock
 	if !c.journalFailedAt.IsZero() {
@@ -255,7 +247,7 @@
 // updateCaughtUp records that the replica has applied what was acknowledged before
 // its process started. A replica that holds applied entries but has no leader counts
 // as caught up after catchUpTimeout; an empty one has nothing to go on with.
-func (c *Control) updateCaughtUp(now time.Time) {
+func (c *Control) updateCaughtUp(now bootclock.Time) {
 	if c.caughtUp {
 		return
 	}
@@ -274,7 +266,7 @@
 // publishStatus updates the status and logs a change of the leader. It signals the
 // accepted channel for the first status and whenever the version of the
 // configuration or the revision of the routes has changed.
-func (c *Control) publishStatus(now time.Time) {
+func (c *Control) publishStatus(now bootclock.Time) {
 	leader, _ := c.node.Leader()
 	c.updateCaughtUp(now)
 	c.stateMu.Lock()
@@ -291,7 +283,7 @@
 		routes:       c.state.Routes(),
 		caughtUp:     c.caughtUp,
 		quorumAge:    c.node.QuorumAge(now),
-		at:           time.Now(),
+		at:           now,
 		leadership:   c.leadership(now),
 		applied:      c.applied >= c.node.CommitIndex(),
 	}
@@ -345,7 +337,7 @@
 // if replica.Node.ShouldJoin says so. Only the VM with the lowest member name
 // bootstraps, and only after all expected control VMs have reported that they have no
 // log: a VM that lost its disk must not bootstrap a second log.
-func (c *Control) bootstrapOrJoin(now time.Time) {
+func (c *Control) bootstrapOrJoin(now bootclock.Time) {
 	if !c.node.ShouldJoin(now) || now.Sub(c.lastJoinAt) < joinInterval {
 		return
 	}
@@ -354,7 +346,7 @@
 	bootstrapped := c.node.Bootstrapped()
 	allAlive := true
 	lowest := true
-	for vm, other := range c.peers.PeerStatuses(now) {
+	for vm, other := range c.peers.PeerStatuses() {
 		bootstrapped = bootstrapped || other.bootstrapped
 		allAlive = allAlive && other.alive
 		lowest = lowest && c.self.VM() < vm
--- a/core/process/control/paused_test.go
+++ b/core/process/control/paused_test.go
@@ -17,7 +17,7 @@
 // network joins control VMs that a test steps one by one. A VM that is paused is not
 // stepped; the messages to it wait.
 type network struct {
-	clock  monotonicClock
+	clock  clock
 	names  []string
 	vms    map[string]*Control
 	queues map[string][]delivery
@@ -36,7 +36,7 @@
 	}
 }
 
-func (p *networkPort) PeerStatuses(time.Time) map[string]PeerStatus {
+func (p *networkPort) PeerStatuses() map[string]PeerStatus {
 	out := make(map[string]PeerStatus)
 	for name, c := range p.network.vms {
 		if name != p.name {
@@ -50,7 +50,7 @@
 
 // newNetwork opens three control VMs.
 func newNetwork(t *testing.T) *network {
-	return newNetworkOf(t, newMonotonicClock(), 3, 3, func(string) journal.Disk { return journal.SystemDisk() })
+	return newNetworkOf(t, newClock(bootclock.Now), 3, 3, func(string) journal.Disk { return journal.SystemDisk() })
 }
 
 // heldClock is a clock that stands still between the steps of a test. What the test's own
@@ -63,7 +63,7 @@
 
 // newNetworkOf opens a number of control VMs, of which some become voters. diskOf returns the
 // disk of a VM.
-func newNetworkOf(t *testing.T, clock monotonicClock, vms, voters int, diskOf func(name string) journal.Disk) *network {
+func newNetworkOf(t *testing.T, clock clock, vms, voters int, diskOf func(name string) journal.Disk) *network {
 	n := &network{clock: clock, vms: make(map[string]*Control), queues: make(map[string][]delivery)}
 	for i := range vms {
 		name := fmt.Sprintf("vm-%d", i+1)
--- a/core/process/control/proof_test.go
+++ b/core/process/control/proof_test.go
@@ -40,14 +40,18 @@
 	})
 }
 
-// The clock of the control role must follow the boot clock, which counts while the machine is
-// suspended, and must convert its times back.
+// The loop must decide by the boot clock, which counts while the machine is suspended, and so
+// must the times in the log, which steps of the time of day must not change.
 func TestClockFollowsTheBootClock(t *testing.T) {
-	c := newMonotonicClock()
 	before := bootclock.Now()
-	at := c.bootTime(c.now())
+	at := newClock(bootclock.Now).now()
 	after := bootclock.Now()
 	assert.Assert(t, !at.Before(before) && !after.Before(at), "%v, %v, %v", before, at, after)
-	suspended := monotonicClock{base: c.base, boot: c.boot.Add(-time.Hour), bootNow: bootclock.Now}
-	assert.Assert(t, suspended.now().Sub(c.base) >= time.Hour)
+	held := &heldClock{at: before}
+	c := newClock(held.now)
+	first := c.appendTime(c.now())
+	assert.Equal(t, first, c.timeOfDay)
+	assert.Equal(t, first, first.Round(0), "the time of day has a monotonic reading")
+	held.advance(time.Hour)
+	assert.Equal(t, c.appendTime(c.now()).Sub(first), time.Hour)
 }
--- a/core/process/control/status.go
+++ b/core/process/control/status.go
@@ -21,8 +21,8 @@
 	routes       replica.Routes
 	caughtUp     bool
 	quorumAge    time.Duration
-	// at is when this status was made, by the clock of Go.
-	at time.Time
+	// at is when this status was made.
+	at bootclock.Time
 	// applied is set if all committed entries are applied.
 	applied    bool
 	leadership Leadership
@@ -71,7 +71,7 @@
 
 // QuorumAge returns the time since the last contact of the leader with a quorum, as
 // far as this VM knows; see replica.Node.QuorumAge. It grows until the next status.
-func (s Status) QuorumAge(now time.Time) time.Duration {
+func (s Status) QuorumAge(now bootclock.Time) time.Duration {
 	return s.quorumAge + now.Sub(s.at)
 }
 
--- a/core/process/host/process.go
+++ b/core/process/host/process.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/intake"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/cluster"
 	"github.com/mulberrydale/mulberrydale/core/process/discovery"
 	"github.com/mulberrydale/mulberrydale/core/process/drain"
@@ -169,7 +170,7 @@
 	if !s.isControlVM() {
 		return nil, nil
 	}
-	if err := p.cluster.EnableControl(s.dataFolder, s.voters, time.Now()); err != nil {
+	if err := p.cluster.EnableControl(s.dataFolder, s.voters, bootclock.Now()); err != nil {
 		return nil, err
 	}
 	socket, err := p.listenForSessions()
--- a/core/process/replica/cluster_test.go
+++ b/core/process/replica/cluster_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 )
 
 // injectedBugs selects bugs to inject, to show that the invariant checks detect
@@ -31,7 +33,7 @@
 	disk    PersistentState
 	running bool
 	// frozenUntil is the time until which the VM processes nothing.
-	frozenUntil time.Time
+	frozenUntil bootclock.Time
 	// lastVersion is the configuration version at the previous check, or 0 after
 	// a start.
 	lastVersion uint64
@@ -40,14 +42,14 @@
 // packet is a message in transit.
 type packet struct {
 	envelope  Envelope
-	deliverAt time.Time
+	deliverAt bootclock.Time
 }
 
 // cluster simulates nodes without sockets, disks or real clocks.
 type cluster struct {
 	rng     *rand.Rand
 	bugs    injectedBugs
-	now     time.Time
+	now     bootclock.Time
 	vmNames []string
 	// voterCount is the argument of Node.SetVoterCount. With 0, every VM of the
 	// cluster may be a voter, and no voter is replaced for being unresponsive.
@@ -62,7 +64,7 @@
 	// committedEntries maps an index to the entry that was applied there.
 	committedEntries map[uint64]string
 	// committedAt is when the entry at an index was first applied.
-	committedAt map[uint64]time.Time
+	committedAt map[uint64]bootclock.Time
 	// outcomeByChange maps a change id to its outcome, which must be the same
 	// each time that the change is applied.
 	outcomeByChange map[string]ChangeOutcome
@@ -83,13 +85,13 @@
 		voterCount:       voterCount,
 		rng:              rand.New(rand.NewPCG(seed, 99)),
 		bugs:             bugs,
-		now:              time.Unix(1_000_000, 0),
+		now:              bootclock.Time(time.Hour),
 		vmNames:          vmNames,
 		vms:              make(map[string]*simulatedVM),
 		blockedLinks:     make(map[string]bool),
 		leaderByTerm:     make(map[uint64]ID),
 		committedEntries: make(map[uint64]string),
-		committedAt:      make(map[uint64]time.Time),
+		committedAt:      make(map[uint64]bootclock.Time),
 		outcomeByChange:  make(map[string]ChangeOutcome),
 		changeByVersion:  make(map[uint64]string),
 	}
@@ -135,7 +137,7 @@
 	// at 0 again.
 	m.lastVersion = 0
 	m.running = true
-	m.frozenUntil = time.Time{}
+	m.frozenUntil = 0
 }
 
 // crash stops a VM. A lost disk also loses the stored state and the id.
@@ -289,7 +291,7 @@
 	if !c.responsive(m) {
 		return false
 	}
-	_, _, ok := m.node.Propose(EncodeCommand(WithAppendTime(command, c.now)))
+	_, _, ok := m.node.Propose(EncodeCommand(WithAppendTime(command, time.Unix(0, int64(c.now)))))
 	m.node.Flush(c.now)
 	c.processOutput(vm)
 	return ok
--- a/core/process/replica/codec.go
+++ b/core/process/replica/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/mulberrydale/mulberrydale/core/connection/frame"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
 
@@ -40,12 +41,12 @@
 		enc.Uint(m.term)
 		enc.Bool(m.matched)
 		enc.Uint(m.index)
-		enc.Time(m.sentAt)
+		enc.Int(int64(m.sentAt))
 	case InstallSnapshot:
 		enc.Uint(wireInstallSnapshot)
 		enc.Uint(m.term)
 		encodeSnapshot(enc, m.snapshot)
-		enc.Time(m.sentAt)
+		enc.Int(int64(m.sentAt))
 	case Join:
 		enc.Uint(wireJoin)
 		encodeMember(enc, m.member)
@@ -66,9 +67,9 @@
 	case wireAppendEntries:
 		e.message = decodeAppendEntries(dec)
 	case wireAppendReply:
-		e.message = AppendReply{term: dec.Uint(), matched: dec.Bool(), index: dec.Uint(), sentAt: dec.Time()}
+		e.message = AppendReply{term: dec.Uint(), matched: dec.Bool(), index: dec.Uint(), sentAt: bootclock.Time(dec.Int())}
 	case wireInstallSnapshot:
-		e.message = InstallSnapshot{term: dec.Uint(), snapshot: decodeSnapshot(dec), sentAt: dec.Time()}
+		e.message = InstallSnapshot{term: dec.Uint(), snapshot: decodeSnapshot(dec), sentAt: bootclock.Time(dec.Int())}
 	case wireJoin:
 		e.message = Join{member: decodeMember(dec)}
 	default:
@@ -131,7 +132,7 @@
 	enc.Uint(m.prevLogIndex)
 	enc.Uint(m.prevLogTerm)
 	enc.Uint(m.commitIndex)
-	enc.Time(m.sentAt)
+	enc.Int(int64(m.sentAt))
 	enc.Duration(m.quorumAge)
 	enc.Uint(uint64(len(m.entries)))
 	for _, e := range m.entries {
@@ -145,7 +146,7 @@
 		prevLogIndex: dec.Uint(),
 		prevLogTerm:  dec.Uint(),
 		commitIndex:  dec.Uint(),
-		sentAt:       dec.Time(),
+		sentAt:       bootclock.Time(dec.Int()),
 		quorumAge:    dec.Duration(),
 	}
 	n := dec.Len()
--- a/core/process/replica/codec_test.go
+++ b/core/process/replica/codec_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrydale/mulberrydale/core/process/audit"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/request/claim"
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
@@ -16,7 +17,7 @@
 	from := Member{id: "a", vm: "vm-1"}
 	to := Member{id: "b", vm: "vm-2"}
 	voters := NewVoters([]Member{to, from})
-	at := time.Unix(5, 6)
+	at := bootclock.Time(5*time.Second + 6)
 	entries := []Entry{{index: 3, term: 2, kind: CommandEntry, payload: []byte{1}}, {index: 4, term: 2, kind: VoterChange, voters: voters}}
 	return []Envelope{
 		NewEnvelope(from, to, VoteRequest{term: 1, preVote: true, lastLogIndex: 2, lastLogTerm: 1}),
--- a/core/process/replica/election.go
+++ b/core/process/replica/election.go
@@ -1,10 +1,10 @@
 package replica
 
-import "time"
+import "github.com/mulberrydale/mulberrydale/core/process/bootclock"
 
 // startElection starts a pre-vote, the first phase of an election. A replica
 // that is not a voter stays a follower.
-func (n *Node) startElection(now time.Time) {
+func (n *Node) startElection(now bootclock.Time) {
 	n.resetElectionTimer(now)
 	n.leader = Member{}
 	voters := n.Voters()
@@ -18,7 +18,7 @@
 
 // requestVotes counts the vote of this replica for itself and requests the votes
 // of the other voters.
-func (n *Node) requestVotes(voters Voters, now time.Time) {
+func (n *Node) requestVotes(voters Voters, now bootclock.Time) {
 	n.votes = map[ID]bool{n.self.id: true}
 	preVote := n.role == PreCandidate
 	term := n.hardState.term
@@ -37,7 +37,7 @@
 // countVotes advances to the next phase of the election once a quorum has voted
 // for this replica: from the pre-vote to the vote, and from that to the
 // leadership.
-func (n *Node) countVotes(now time.Time) {
+func (n *Node) countVotes(now bootclock.Time) {
 	voters := n.Voters()
 	granted := 0
 	for _, m := range voters.members {
@@ -63,7 +63,7 @@
 // electionTimeout. A follower counts the last message from its leader as activity,
 // the leader its own last contact with a quorum. While there is a live leader,
 // votes are refused, so that a replica that reconnects does not depose it.
-func (n *Node) hasLiveLeader(now time.Time) bool {
+func (n *Node) hasLiveLeader(now bootclock.Time) bool {
 	if n.role == Leader {
 		return now.Sub(n.quorumContactTime(now)) < electionTimeout
 	}
@@ -74,7 +74,7 @@
 // as the log of this replica. Each replica votes once in a term; a pre-vote
 // changes no state. While there is a live leader, pre-votes and requests with a
 // higher term are refused, and other requests get no reply.
-func (n *Node) stepVoteRequest(from Member, m VoteRequest, now time.Time) {
+func (n *Node) stepVoteRequest(from Member, m VoteRequest, now bootclock.Time) {
 	if n.hasLiveLeader(now) {
 		if m.term > n.hardState.term || m.preVote {
 			n.send(from, VoteReply{term: n.hardState.term, preVote: m.preVote})
@@ -103,7 +103,7 @@
 }
 
 // stepVoteReply counts a granted vote and adopts a higher term.
-func (n *Node) stepVoteReply(from Member, m VoteReply, now time.Time) {
+func (n *Node) stepVoteReply(from Member, m VoteReply, now bootclock.Time) {
 	if m.preVote {
 		if n.role == PreCandidate && m.granted && m.term == n.hardState.term+1 {
 			n.votes[from.id] = true
@@ -130,7 +130,7 @@
 // becomeFollower adopts the term if it is higher than the current one and
 // follows the leader. The leader is the zero Member if it is unknown. The
 // learners and the progress of all replicas are discarded.
-func (n *Node) becomeFollower(term uint64, leader Member, now time.Time) {
+func (n *Node) becomeFollower(term uint64, leader Member, now bootclock.Time) {
 	if term > n.hardState.term {
 		n.setHardState(term, "")
 	}
@@ -144,7 +144,7 @@
 // becomeLeader starts the leadership of this replica in the current term. It
 // appends an entry of its own term at once, because entries of earlier terms
 // are committed only together with an entry of the current term.
-func (n *Node) becomeLeader(now time.Time) {
+func (n *Node) becomeLeader(now bootclock.Time) {
 	n.role = Leader
 	n.leader = n.self
 	n.leaderSince = now
--- a/core/process/replica/fault_test.go
+++ b/core/process/replica/fault_test.go
@@ -97,7 +97,7 @@
 	c := run.cluster
 	clear(c.blockedLinks)
 	for _, name := range c.vmNames {
-		c.vms[name].frozenUntil = time.Time{}
+		c.vms[name].frozenUntil = 0
 		if !c.vms[name].running {
 			c.start(name)
 		}
--- a/core/process/replica/membership.go
+++ b/core/process/replica/membership.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 )
 
 // unresponsiveAfter is the time without a reply after which a voter may be
@@ -13,7 +15,7 @@
 // towards no quorum until a voter change makes it a voter. Learners that are
 // other incarnations of the same VM are removed. A replica that is not the leader
 // ignores the request.
-func (n *Node) stepJoin(m Join, now time.Time) {
+func (n *Node) stepJoin(m Join, now bootclock.Time) {
 	if n.role != Leader || m.member.vm == n.self.vm || !n.mayJoin(m.member.vm) || n.Voters().Has(m.member.id) {
 		return
 	}
@@ -37,7 +39,7 @@
 // that one afterwards. The other way round, the loss of another disk in between would leave
 // no majority, although the disk of the unresponsive voter is sound. Each step is a separate
 // change, which is committed before the next one. A voterCount of 0 sets no limit.
-func (n *Node) promoteLearner(m Member, now time.Time) {
+func (n *Node) promoteLearner(m Member, now bootclock.Time) {
 	if _, isLearner := n.learners[m.id]; !isLearner || !n.mayChangeVoters(now) {
 		return
 	}
@@ -61,7 +63,7 @@
 
 // removeSurplusVoter removes the voter that has been silent for the longest time if there are
 // more than voterCount, after one has been added in place of another.
-func (n *Node) removeSurplusVoter(now time.Time) {
+func (n *Node) removeSurplusVoter(now bootclock.Time) {
 	voters := n.Voters()
 	if n.voterCount == 0 || len(voters.members) <= n.voterCount || !n.mayChangeVoters(now) {
 		return
@@ -96,7 +98,7 @@
 // With two voter changes pending at once, there could be two majorities without a common
 // member. Until an entry of the current term is committed, a change by an earlier leader
 // may still be pending on other replicas.
-func (n *Node) mayChangeVoters(now time.Time) bool {
+func (n *Node) mayChangeVoters(now bootclock.Time) bool {
 	_, changeIndex := n.log.voters()
 	return n.hasLiveLeader(now) && changeIndex <= n.commitIndex && n.commitInCurrentTerm()
 }
@@ -109,7 +111,7 @@
 // voter, or takes itself for one but hears no leader. The others may have replaced it
 // while it could not hear them, and neither a vote nor an entry reaches it then. A
 // leader that still counts it as a voter ignores the request.
-func (n *Node) ShouldJoin(now time.Time) bool {
+func (n *Node) ShouldJoin(now bootclock.Time) bool {
 	if !n.Voters().Has(n.self.id) {
 		return true
 	}
--- a/core/process/replica/membership_test.go
+++ b/core/process/replica/membership_test.go
@@ -202,7 +202,7 @@
 	c := run.cluster
 	clear(c.blockedLinks)
 	for _, name := range c.vmNames {
-		c.vms[name].frozenUntil = time.Time{}
+		c.vms[name].frozenUntil = 0
 		if !c.vms[name].running {
 			c.start(name)
 		}
--- a/core/process/replica/message.go
+++ b/core/process/replica/message.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+)
 
 // Message is a message between replicas: VoteRequest, VoteReply, AppendEntries,
 // AppendReply, InstallSnapshot or Join.
@@ -37,7 +41,7 @@
 	commitIndex  uint64
 	// sentAt is the send time by the leader's clock. The reply returns it, and
 	// the leader takes it as the time of its last contact with the replica.
-	sentAt time.Time
+	sentAt bootclock.Time
 	// quorumAge is the time from the leader's last contact with a quorum to
 	// sentAt.
 	quorumAge time.Duration
@@ -53,7 +57,7 @@
 	index uint64
 	// sentAt is the sentAt of the message that is answered, or the zero time if
 	// the leader's term was too low.
-	sentAt time.Time
+	sentAt bootclock.Time
 }
 
 // InstallSnapshot carries a snapshot to a replica that needs entries that the
@@ -61,7 +65,7 @@
 type InstallSnapshot struct {
 	term     uint64
 	snapshot Snapshot
-	sentAt   time.Time
+	sentAt   bootclock.Time
 }
 
 // Join requests that the leader add a replica that is not a voter as a learner.
--- a/core/process/replica/node.go
+++ b/core/process/replica/node.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+)
 
 const (
 	// HeartbeatInterval is the time between two heartbeats of a leader. The next
@@ -77,13 +81,13 @@
 	matchIndex uint64
 	// ackedAt is the send time, by the leader's clock, of the latest message that
 	// the replica has answered. It is zero before the first answer.
-	ackedAt time.Time
+	ackedAt bootclock.Time
 	// inFlight is set while sent entries or a snapshot await a reply, so that a
 	// slow replica does not receive the same data again with every heartbeat. It
 	// is cleared after resendAfter without a reply.
 	inFlight bool
 	// sentAt is the time at which inFlight was last set.
-	sentAt time.Time
+	sentAt bootclock.Time
 }
 
 // Node runs the consensus protocol of one replica. Its methods change only its state
@@ -104,18 +108,18 @@
 	syncedIndex     uint64
 	role            Role
 	leader          Member
-	leaderContactAt time.Time
+	leaderContactAt bootclock.Time
 	// leaderQuorumAge is the time since the leader's last contact with a
 	// quorum, as the leader reported it at leaderContactAt. It is
 	// unknownQuorumAge while this replica lacks committed entries.
 	leaderQuorumAge time.Duration
 	// electionAt is the time of the next election unless a message postpones
 	// it. A leader ignores it.
-	electionAt time.Time
+	electionAt bootclock.Time
 	// heartbeatAt is the time of the next heartbeat. Only a leader uses it.
-	heartbeatAt time.Time
+	heartbeatAt bootclock.Time
 	// leaderSince is the time at which this replica last became the leader.
-	leaderSince time.Time
+	leaderSince bootclock.Time
 	// lastOrder is described at LastOrder. Only a leader uses it.
 	lastOrder uint64
 	history   leaderHistory
@@ -132,7 +136,7 @@
 // NewNode returns a replica that starts from its stored state. Only the VMs in
 // voterVMs may be voters, unless SetVoterCount lifts that limit. randIntN
 // returns a random number in [0, n).
-func NewNode(self Member, voterVMs []string, persisted PersistentState, randIntN func(n int) int, now time.Time) *Node {
+func NewNode(self Member, voterVMs []string, persisted PersistentState, randIntN func(n int) int, now bootclock.Time) *Node {
 	n := &Node{
 		self:        self,
 		voterVMs:    voterVMs,
@@ -156,7 +160,7 @@
 // Bootstrap stores the first set of voters. It does nothing if the replica has
 // a set of voters already. Only one VM may call it, after it has verified that
 // no other VM has a log.
-func (n *Node) Bootstrap(voters Voters, now time.Time) {
+func (n *Node) Bootstrap(voters Voters, now bootclock.Time) {
 	if n.Bootstrapped() {
 		return
 	}
@@ -173,7 +177,7 @@
 
 // StepDown makes a leader a follower. It is called when this replica cannot
 // write its journal.
-func (n *Node) StepDown(now time.Time) {
+func (n *Node) StepDown(now bootclock.Time) {
 	if n.role == Leader {
 		n.becomeFollower(n.hardState.term, Member{}, now)
 	}
@@ -181,7 +185,7 @@
 
 // ScheduleHeartbeat makes the leader send heartbeats at the first Tick at or
 // after now.
-func (n *Node) ScheduleHeartbeat(now time.Time) { n.heartbeatAt = now }
+func (n *Node) ScheduleHeartbeat(now bootclock.Time) { n.heartbeatAt = now }
 
 // Role returns the current role.
 func (n *Node) Role() Role { return n.role }
@@ -221,7 +225,7 @@
 // must first have synced the records of all output up to now, or a rewritten
 // journal with the whole PersistentState. Only after MarkSynced does a leader
 // count its own entries towards a majority.
-func (n *Node) MarkSynced(now time.Time) {
+func (n *Node) MarkSynced(now bootclock.Time) {
 	n.syncedIndex = n.log.lastIndex()
 	if n.role == Leader {
 		n.advanceCommit(now)
@@ -255,7 +259,7 @@
 
 // Tick carries out the actions that are due. A leader sends heartbeats; any other
 // replica starts an election once its election timer has expired.
-func (n *Node) Tick(now time.Time) {
+func (n *Node) Tick(now bootclock.Time) {
 	if n.role == Leader {
 		n.tickLeader(now)
 		return
@@ -266,7 +270,7 @@
 }
 
 // NextTick returns the time at which Tick must be called next.
-func (n *Node) NextTick() time.Time {
+func (n *Node) NextTick() bootclock.Time {
 	if n.role == Leader {
 		return n.heartbeatAt
 	}
@@ -275,7 +279,7 @@
 
 // Step processes a received message. It drops messages that are addressed to
 // another id, such as that of an earlier incarnation of the VM.
-func (n *Node) Step(e Envelope, now time.Time) {
+func (n *Node) Step(e Envelope, now bootclock.Time) {
 	if e.to.id != n.self.id {
 		return
 	}
@@ -306,7 +310,7 @@
 }
 
 // Flush sends the entries that were proposed since the last call.
-func (n *Node) Flush(now time.Time) {
+func (n *Node) Flush(now bootclock.Time) {
 	if n.role == Leader {
 		n.replicate(now)
 	}
@@ -338,7 +342,7 @@
 
 // resetElectionTimer schedules the next election after electionTimeout and a
 // random delay.
-func (n *Node) resetElectionTimer(now time.Time) {
+func (n *Node) resetElectionTimer(now bootclock.Time) {
 	jitter := time.Duration(n.randIntN(int(electionTimeout/time.Millisecond))) * time.Millisecond
 	n.electionAt = now.Add(electionTimeout + jitter)
 }
--- a/core/process/replica/predecessor.go
+++ b/core/process/replica/predecessor.go
@@ -1,6 +1,6 @@
 package replica
 
-import "time"
+import "github.com/mulberrydale/mulberrydale/core/process/bootclock"
 
 // leaderHistory records when this replica learned of the latest leader. All other leaders
 // that committed an entry were elected before that, because a replica that holds their
@@ -10,17 +10,17 @@
 	// and since when it did so first. At the start they are the last term of the log and
 	// the time of the start.
 	term  uint64
-	since time.Time
+	since bootclock.Time
 	// predecessorTerm and predecessorSince are the values before this replica last became
 	// the leader.
 	predecessorTerm  uint64
-	predecessorSince time.Time
+	predecessorSince bootclock.Time
 	// predecessorSettled is true if the log holds the MarkSettled of predecessorTerm.
 	predecessorSettled bool
 }
 
 // follow records that this replica follows or becomes the leader of a term.
-func (h *leaderHistory) follow(term uint64, now time.Time) {
+func (h *leaderHistory) follow(term uint64, now bootclock.Time) {
 	if term > h.term {
 		h.term = term
 		h.since = now
@@ -29,7 +29,7 @@
 
 // lead records that this replica becomes the leader of a term. settledIn reports whether
 // the leader of an earlier term has recorded that it was settled.
-func (h *leaderHistory) lead(term uint64, settledIn func(term uint64) bool, now time.Time) {
+func (h *leaderHistory) lead(term uint64, settledIn func(term uint64) bool, now bootclock.Time) {
 	h.predecessorTerm = h.term
 	h.predecessorSince = h.since
 	h.predecessorSettled = settledIn(h.term)
@@ -39,7 +39,7 @@
 // Predecessor returns, on a leader, a time at or after the election of the last leader
 // before it that has committed an entry, and whether that one has called MarkSettled. Every
 // leader before that one was deposed by that time. exists is false if there was none.
-func (n *Node) Predecessor() (since time.Time, settled, exists bool) {
+func (n *Node) Predecessor() (since bootclock.Time, settled, exists bool) {
 	return n.history.predecessorSince, n.history.predecessorSettled, n.history.predecessorTerm > 0
 }
 
--- a/core/process/replica/predecessor_test.go
+++ b/core/process/replica/predecessor_test.go
@@ -5,13 +5,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 )
 
 // A leader that takes an earlier leader for long gone would grant what that one's grants
 // still cover.
 func TestPredecessorSince(t *testing.T) {
-	start := time.Unix(1000, 0)
-	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	start := bootclock.Time(1000 * time.Second)
+	at := func(s int) bootclock.Time { return start.Add(time.Duration(s) * time.Second) }
 	settled := func(term uint64) bool { return term == 2 }
 	var h leaderHistory
 	h.lead(1, settled, at(1))
--- a/core/process/replica/read.go
+++ b/core/process/replica/read.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 )
 
 // ReadIndex returns the index that must be applied before a read that starts now
@@ -32,9 +34,9 @@
 // LastQuorumContact returns the latest time at which a quorum is known to have
 // followed this leader, or false if this replica is not the leader. A read that
 // started no later than that time is linearizable once its read index is applied.
-func (n *Node) LastQuorumContact(now time.Time) (time.Time, bool) {
+func (n *Node) LastQuorumContact(now bootclock.Time) (bootclock.Time, bool) {
 	if n.role != Leader {
-		return time.Time{}, false
+		return 0, false
 	}
 	return n.quorumContactTime(now), true
 }
@@ -47,12 +49,12 @@
 //
 // LastQuorumContact counts a voter that has not answered from the start of the leadership.
 // That is too late if this replica was suspended between the votes and its becoming leader.
-func (n *Node) AcknowledgedContact(now time.Time) (time.Time, bool) {
+func (n *Node) AcknowledgedContact(now bootclock.Time) (bootclock.Time, bool) {
 	if n.role != Leader || !n.commitInCurrentTerm() {
-		return time.Time{}, false
+		return 0, false
 	}
 	voters := n.Voters()
-	var times []time.Time
+	var times []bootclock.Time
 	for _, m := range voters.members {
 		if m.id == n.self.id {
 			times = append(times, now)
@@ -61,7 +63,7 @@
 		}
 	}
 	if len(times) < voters.Quorum() {
-		return time.Time{}, false
+		return 0, false
 	}
 	sort.Slice(times, func(i, j int) bool { return times[i].After(times[j]) })
 	return times[voters.Quorum()-1], true
@@ -72,7 +74,7 @@
 // later contact, and it does not include the transit time of the leader's message.
 // It is at least unknownQuorumAge if no leader is known or this replica lacks
 // committed entries.
-func (n *Node) QuorumAge(now time.Time) time.Duration {
+func (n *Node) QuorumAge(now bootclock.Time) time.Duration {
 	switch {
 	case n.role == Leader:
 		return now.Sub(n.quorumContactTime(now))
--- a/core/process/replica/replication.go
+++ b/core/process/replica/replication.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 )
 
 // resendAfter is the time after which entries or a snapshot without a reply are
@@ -12,7 +14,7 @@
 // tickLeader sends the heartbeats that are due. The leader steps down after
 // twice electionTimeout without contact with a quorum, because an isolated leader
 // must not keep reporting its state as current.
-func (n *Node) tickLeader(now time.Time) {
+func (n *Node) tickLeader(now bootclock.Time) {
 	if now.Sub(n.quorumContactTime(now)) > 2*electionTimeout {
 		n.becomeFollower(n.hardState.term, Member{}, now)
 		return
@@ -41,7 +43,7 @@
 }
 
 // replicate sends new entries to every replica that has none in flight.
-func (n *Node) replicate(now time.Time) {
+func (n *Node) replicate(now bootclock.Time) {
 	for _, m := range n.otherMembers() {
 		n.sendAppend(m, now, false)
 	}
@@ -62,7 +64,7 @@
 // no longer holds them. If earlier ones got no reply within resendAfter, it starts
 // again after the last index known to match. A heartbeat is sent even if there are
 // no entries to send or some are in flight.
-func (n *Node) sendAppend(to Member, now time.Time, heartbeat bool) {
+func (n *Node) sendAppend(to Member, now bootclock.Time, heartbeat bool) {
 	p := n.progressOf(to.id)
 	if p.inFlight && now.Sub(p.sentAt) > resendAfter {
 		p.inFlight = false
@@ -109,7 +111,7 @@
 // stepAppendEntries appends the leader's entries if the log matches at
 // prevLogIndex, and raises the commit index as far as the log is known to match.
 // It refuses a message of an earlier term.
-func (n *Node) stepAppendEntries(from Member, m AppendEntries, now time.Time) {
+func (n *Node) stepAppendEntries(from Member, m AppendEntries, now bootclock.Time) {
 	if m.term < n.hardState.term {
 		n.send(from, AppendReply{term: n.hardState.term})
 		return
@@ -149,7 +151,7 @@
 // recordLeaderContact records a message of the leader of a term that is not
 // lower than the current one. The quorum age is the one that the message
 // carries, or unknownQuorumAge if it carries none.
-func (n *Node) recordLeaderContact(from Member, term uint64, quorumAge time.Duration, now time.Time) {
+func (n *Node) recordLeaderContact(from Member, term uint64, quorumAge time.Duration, now bootclock.Time) {
 	if term > n.hardState.term || n.role != Follower || n.leader != from {
 		n.becomeFollower(term, from, now)
 	}
@@ -197,7 +199,7 @@
 
 // stepInstallSnapshot installs a snapshot that covers more than the committed
 // entries. Log entries after it are kept only if the log matches the snapshot.
-func (n *Node) stepInstallSnapshot(from Member, m InstallSnapshot, now time.Time) {
+func (n *Node) stepInstallSnapshot(from Member, m InstallSnapshot, now bootclock.Time) {
 	if m.term < n.hardState.term {
 		n.send(from, AppendReply{term: n.hardState.term})
 		return
@@ -222,7 +224,7 @@
 // stepAppendReply updates the progress of a replica and sends what it lacks. A
 // reply without a match moves nextIndex back. A reply with a match may also
 // commit entries and change the voters.
-func (n *Node) stepAppendReply(from Member, m AppendReply, now time.Time) {
+func (n *Node) stepAppendReply(from Member, m AppendReply, now bootclock.Time) {
 	if m.term > n.hardState.term {
 		n.becomeFollower(m.term, Member{}, now)
 		return
@@ -259,7 +261,7 @@
 // advanceCommit sets the commit index to the highest index that a majority has
 // synced, if its entry is of the current term. A leader that is no longer a
 // voter then steps down.
-func (n *Node) advanceCommit(now time.Time) {
+func (n *Node) advanceCommit(now bootclock.Time) {
 	voters := n.Voters()
 	var matchIndexes []uint64
 	for _, m := range voters.members {
@@ -293,9 +295,9 @@
 // followed this leader. A voter followed it at least until the leader sent the
 // latest message that the voter answered. A voter that has not replied yet counts
 // from the start of the leadership.
-func (n *Node) quorumContactTime(now time.Time) time.Time {
+func (n *Node) quorumContactTime(now bootclock.Time) bootclock.Time {
 	voters := n.Voters()
-	var ackTimes []time.Time
+	var ackTimes []bootclock.Time
 	for _, m := range voters.members {
 		if m.id == n.self.id {
 			ackTimes = append(ackTimes, now)
--- a/core/process/replica/voterdecision.go
+++ b/core/process/replica/voterdecision.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
+)
 
 // VoterDecision is a decision of a leader to add or to remove a voter, with what the leader
 // knew when it made it.
@@ -25,7 +29,7 @@
 func (d VoterDecision) QuorumAge() time.Duration { return d.quorumAge }
 
 // addVoter makes a learner a voter.
-func (n *Node) addVoter(m Member, now time.Time) {
+func (n *Node) addVoter(m Member, now bootclock.Time) {
 	n.recordVoterDecision(m, true, now)
 	delete(n.learners, m.id)
 	n.appendEntry(VoterChange, nil, n.Voters().with(m))
@@ -33,14 +37,14 @@
 }
 
 // removeVoter removes a voter.
-func (n *Node) removeVoter(m Member, now time.Time) {
+func (n *Node) removeVoter(m Member, now bootclock.Time) {
 	n.recordVoterDecision(m, false, now)
 	n.appendEntry(VoterChange, nil, n.Voters().without(m.id))
 	n.replicate(now)
 }
 
 // recordVoterDecision adds a decision to the output.
-func (n *Node) recordVoterDecision(m Member, added bool, now time.Time) {
+func (n *Node) recordVoterDecision(m Member, added bool, now bootclock.Time) {
 	n.output.voterDecisions = append(n.output.voterDecisions, VoterDecision{
 		member:    m,
 		added:     added,
@@ -51,7 +55,7 @@
 
 // answeredAt returns the send time of the latest message that a replica has answered. One
 // that has not answered this leader yet counts from the start of the leadership.
-func (n *Node) answeredAt(id ID) time.Time {
+func (n *Node) answeredAt(id ID) bootclock.Time {
 	if at := n.progressOf(id).ackedAt; !at.IsZero() {
 		return at
 	}
--- a/mulberrydale/vm/loops.go
+++ b/mulberrydale/vm/loops.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/entry"
 	"github.com/mulberrydale/mulberrydale/core/process/membership"
@@ -106,7 +107,7 @@
 	if v.control != nil {
 		s := v.control.Status()
 		heartbeat = heartbeat.WithReplica(string(s.Member().ID()), s.Bootstrapped(), s.Leader())
-		v.view.RecordQuorum(s.QuorumAge(now), s.Version(), now)
+		v.view.RecordQuorum(s.QuorumAge(bootclock.Now()), s.Version(), now)
 		v.updateVoterGauge(s)
 	}
 	age, confirmed := v.view.LastQuorum(now)
--- a/mulberrydale/vm/receive.go
+++ b/mulberrydale/vm/receive.go
@@ -177,7 +177,8 @@
 // PeerStatuses returns the status of the replica on each other control VM that the
 // settings name, taken from its last heartbeat. The status is zero for a VM that is
 // not alive (membership.VM.Alive) or has sent no status of its replica.
-func (v *VM) PeerStatuses(now time.Time) map[string]control.PeerStatus {
+func (v *VM) PeerStatuses() map[string]control.PeerStatus {
+	now := time.Now()
 	statuses := make(map[string]control.PeerStatus)
 	for _, name := range v.settings.ControlVMs() {
 		if name != v.settings.VM() {
--- a/mulberrydale/vm/vm.go
+++ b/mulberrydale/vm/vm.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberrydale/mulberrydale/core/connection/peer"
+	"github.com/mulberrydale/mulberrydale/core/process/bootclock"
 	"github.com/mulberrydale/mulberrydale/core/process/control"
 	"github.com/mulberrydale/mulberrydale/core/process/entry"
 	"github.com/mulberrydale/mulberrydale/core/process/logsink"
@@ -79,7 +80,7 @@
 	v.entry = entry.New(s.VM(), v.startID, v.table, v, v.view, scope, log)
 	if s.IsControl() {
 		// Since wantedVoters is 0, only the control VMs of the settings become voters.
-		controlRole, err := control.Open(s.DataFolder(), s.VM(), s.ControlVMs(), 0, v, v, log, now)
+		controlRole, err := control.Open(s.DataFolder(), s.VM(), s.ControlVMs(), 0, v, v, log, bootclock.Now())
 		if err != nil {
 			return nil, err
 		}
