control: a first start is completed without the lowest VM

The process of the lowest control VM is killed as it starts for the first time and comes back after a second, with settings of a later start.

Cause: only the lowest seed may bootstrap the log, and this one doesn't know of the first start any more, as it was killed before its record was on disk. The others know, have no log, and wait for it forever.

Fix: a VM that can't bootstrap says so in its presence, by a mark in its start id, which earlier processes accept.

TestFirstStartWithoutTheRecordOfTheLowestVMs failed before ("timeout hit after 20s: 601 no-quorum: no leader is known") and passes, with the lowest and with the lowest two killed.

--- a/core/process/cluster/cluster.go
+++ b/core/process/cluster/cluster.go
@@ -184,6 +184,9 @@
 		return err
 	}
 	c.control = role
+	if !role.MayBootstrap() {
+		c.self.startID = peer.MarkJoiner(c.self.startID)
+	}
 	if c.MayBootstrap() {
 		return role.RecordFirstStart(c.seeds)
 	}
--- a/core/process/cluster/firststart_test.go
+++ b/core/process/cluster/firststart_test.go
@@ -86,3 +86,24 @@
 		assert.Assert(t, err != nil, "%s has a log", name)
 	}
 }
+
+// Guards against an installation without a log for good: the lowest control VM, or the lowest
+// two, are killed in the first start before they have its record on disk, and come back
+// without knowing of it. The others do, and are never disturbed.
+func TestFirstStartWithoutTheRecordOfTheLowestVMs(t *testing.T) {
+	for _, killed := range []int{1, 2} {
+		in, names := newSeeds(t)
+		folders := make(map[string]string)
+		for n, name := range names {
+			folders[name] = t.TempDir()
+			in.start(name, folders[name], n >= killed)
+		}
+		in.publish(names[0], 1)
+		in.waitForVersion(1)
+		for _, name := range names {
+			in.restart(name, folders[name])
+			in.publish(name, uint64(2+slices.Index(names, name)))
+		}
+		in.waitForVersion(4)
+	}
+}
--- a/core/process/cluster/receive.go
+++ b/core/process/cluster/receive.go
@@ -266,7 +266,7 @@
 		if !isControl || !r.alive(now) || !isSeed && (!bootstrapped || address == c.self.address) {
 			continue
 		}
-		out[address] = control.NewPeerStatus(replica.ID(id), bootstrapped)
+		out[address] = control.NewPeerStatus(replica.ID(id), bootstrapped).WithOnlyJoins(r.presence.OnlyJoins())
 	}
 	return out
 }
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -67,6 +67,7 @@
 	id           replica.ID
 	alive        bool
 	bootstrapped bool
+	onlyJoins    bool
 }
 
 // NewPeerStatus returns the status of a live control VM. bootstrapped is true
@@ -75,6 +76,12 @@
 	return PeerStatus{id: id, alive: true, bootstrapped: bootstrapped}
 }
 
+// WithOnlyJoins returns the status of a control VM that can't bootstrap the log, or can.
+func (s PeerStatus) WithOnlyJoins(onlyJoins bool) PeerStatus {
+	s.onlyJoins = onlyJoins
+	return s
+}
+
 // Control is the control role of a VM: it runs the replica of that VM and answers
 // changes and reads while the replica is the leader.
 type Control struct {
@@ -110,9 +117,11 @@
 	// journalRetryAt is when the next write is attempted after a failure.
 	journalRetryAt bootclock.Time
 	lastJoinAt     bootclock.Time
-	loggedLeader   string
-	caughtUp       bool
-	openedAt       bootclock.Time
+	// founderSince is since when this VM is the one to bootstrap the log, zero while it is not.
+	founderSince bootclock.Time
+	loggedLeader string
+	caughtUp     bool
+	openedAt     bootclock.Time
 	// clock is the clock of the latest step.
 	clock clock
 
--- a/core/process/control/firststart.go
+++ b/core/process/control/firststart.go
@@ -65,9 +65,9 @@
 	}
 }
 
-// mayBootstrap reports whether this VM may bootstrap the log: in the first start, or after a
+// MayBootstrap reports whether this VM may bootstrap the log: in the first start, or after a
 // first start that ended before there was one.
-func (c *Control) mayBootstrap() bool {
+func (c *Control) MayBootstrap() bool {
 	if c.peers.MayBootstrap() {
 		return true
 	}
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -332,31 +332,3 @@
 	}
 	return c.journal.Replace(records)
 }
-
-// bootstrapOrJoin bootstraps the log, or sends the VMs that have it a request to join
-// if replica.Node.ShouldJoin says so. Only the VM with the lowest member name
-// bootstraps, and only after all expected control VMs have reported that they have no
-// log: a VM that lost its disk must not bootstrap a second log.
-func (c *Control) bootstrapOrJoin(now bootclock.Time) {
-	if !c.node.ShouldJoin(now) || now.Sub(c.lastJoinAt) < joinInterval {
-		return
-	}
-	c.lastJoinAt = now
-	members := []replica.Member{c.self}
-	bootstrapped := c.node.Bootstrapped()
-	allAlive := true
-	lowest := true
-	for vm, other := range c.peers.PeerStatuses() {
-		bootstrapped = bootstrapped || other.bootstrapped
-		allAlive = allAlive && other.alive
-		lowest = lowest && c.self.VM() < vm
-		members = append(members, replica.NewMember(other.id, vm))
-		if other.alive && other.bootstrapped {
-			join := replica.NewEnvelope(c.self, replica.NewMember(other.id, vm), replica.NewJoin(c.self))
-			c.sender.SendEnvelope(vm, replica.EncodeEnvelope(join))
-		}
-	}
-	if !bootstrapped && allAlive && lowest && c.mayBootstrap() {
-		c.node.Bootstrap(replica.NewVoters(members), now)
-	}
-}
