exchange: a part of a shard's response is no part of the answer

Searches with Accept-Encoding: gzip or If-None-Match got 502 where the targets act on them, and so did requests to one target that compresses.

Cause: a caller's lines reached the targets as they were, and every 2xx of a shard counted as a whole part. A response in an encoding is never passed on, though the caller's line had asked for it.

Fix: shards don't get lines that ask for something other than the whole response, as the merged answer is always whole; targets get identity in place of the caller's Accept-Encoding; a 206 or a Content-Range of a shard is no part.

--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -106,15 +106,16 @@
 // many shards is in flight to all of them at once; otherwise rest is nil. The
 // headers for the request id, the deadline and the target replace headers of the
 // same names from the caller, and so do those of the key and the team under a
-// table with teams. Content-Length is set from the body. Requests are written
+// table with teams; replacedFields has the others. Content-Length is set from the body. Requests are written
 // without http.Transport, which could send them a second time.
 func (n HeaderNames) encodeRequest(a relay.Attempt, now time.Time) (head []byte, rest [][]byte) {
 	r := a.Request()
+	encode := func(h http.Header) []byte { return encodeWithout(h, n.replacedFields(a)...) }
 	var header []byte
 	if a.Identity().HidesKey() {
-		header = r.KeylessHeader(n.encodeKeylessHeader)
+		header = r.KeylessHeader(encode)
 	} else {
-		header = r.WireHeader(n.encodeHeader)
+		header = r.WireHeader(encode)
 	}
 	copied := len(header)+len(r.Body()) <= maxCopiedBytes
 	size := requestLineBytes + len(r.URI())
@@ -133,6 +134,9 @@
 	if team := a.Identity().Team(); team != "" {
 		out = appendField(out, n.team, team)
 	}
+	if r.Header().Get(acceptEncoding) != "" {
+		out = appendField(out, acceptEncoding, "identity")
+	}
 	if len(r.Body()) > 0 || r.Method() != http.MethodGet && r.Method() != http.MethodHead {
 		out = appendField(out, "Content-Length", strconv.Itoa(len(r.Body())))
 	}
@@ -144,18 +148,6 @@
 	return append(out, r.Body()...), nil
 }
 
-// encodeHeader returns the fields of a caller's header that targets receive, without
-// those that encodeRequest sets.
-func (n HeaderNames) encodeHeader(h http.Header) []byte {
-	return encodeWithout(h, n.request, n.deadline, n.target)
-}
-
-// encodeKeylessHeader is encodeHeader without the caller's key and the team that the caller
-// claims to belong to.
-func (n HeaderNames) encodeKeylessHeader(h http.Header) []byte {
-	return encodeWithout(h, n.request, n.deadline, n.target, n.key, n.team)
-}
-
 // encodeWithout returns the fields of a header except those with the given names.
 func encodeWithout(h http.Header, names ...string) []byte {
 	excluded := make(map[string]bool, len(names))
--- a/core/connection/exchange/response.go
+++ b/core/connection/exchange/response.go
@@ -136,6 +136,11 @@
 	}
 	outcome, reuse := x.names.classify(res, header, body, x.attempt.Request().ID(), notice)
 	answered, ok := outcome.(relay.Answered)
+	if ok && x.attempt.NeedsWholeResponse() {
+		if err := checkWhole(res); err != nil {
+			outcome, ok = relay.NewLost(err).WithNotice(notice), false
+		}
+	}
 	if !ok {
 		x.releaseAll()
 	}
--- a/core/process/gateway/server_test.go
+++ b/core/process/gateway/server_test.go
@@ -132,6 +132,12 @@
 // send sends a request with a deadline of 900 ms and returns the response and
 // its body.
 func (s *entryServer) send(t *testing.T, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	return s.sendWith(t, method, path, body, nil)
+}
+
+// sendWith is send with some more header fields.
+func (s *entryServer) sendWith(t *testing.T, method, path, body string, fields http.Header) (*http.Response, string) {
 	t.Helper()
 	req, err := http.NewRequest(method, s.server.URL+path, strings.NewReader(body))
 	assert.NilError(t, err)
@@ -140,6 +146,9 @@
 	req.Header.Set(names.Request(), s.lastID())
 	req.Header.Set(names.Deadline(), "900")
 	req.Header.Set("X-Other", "kept")
+	for name, values := range fields {
+		req.Header[name] = values
+	}
 	res, err := http.DefaultTransport.RoundTrip(req)
 	assert.NilError(t, err)
 	defer res.Body.Close()
