listener: OPTIONS for the whole server reaches the handler

Callers saw: OPTIONS * is answered 200 without a signature (MIXED), a success that no target gave. net/http answers it before any handler unless DisableGeneralOptionsHandler is set; listener.Start, by which all servers are started, sets it. TestOptionsForTheServerReachTheHandler failed before (200 instead of 404).

--- a/core/connection/listener/listener.go
+++ b/core/connection/listener/listener.go
@@ -40,7 +40,10 @@
 
 // Start serves HTTP on a socket in the background. If serving fails, the error
 // is sent to errs; the end of the server by Shutdown or Close is not a failure.
+// All requests reach the handler, also OPTIONS for the whole server, which net/http would
+// answer with a success of its own.
 func Start(server *http.Server, socket net.Listener, errs chan<- error) {
+	server.DisableGeneralOptionsHandler = true
 	go (&serveLoop{server: server, socket: socket, errs: errs}).run()
 }
 
--- a/core/connection/listener/listener_test.go
+++ b/core/connection/listener/listener_test.go
@@ -1,6 +1,7 @@
 package listener_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -59,6 +60,25 @@
 	}
 }
 
+// Guards against a success that no target gave: net/http answers OPTIONS for the whole server
+// by itself unless it is told not to.
+func TestOptionsForTheServerReachTheHandler(t *testing.T) {
+	socket, err := listener.Open("127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	listener.Start(server, socket, make(chan error, 1))
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", socket.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, res.StatusCode, http.StatusNotFound)
+}
+
 func ExampleStart() {
 	socket, err := listener.Open("127.0.0.1:0")
 	if err != nil {
