--- a/core/connection/exchange/exchange.go
+++ b/core/connection/exchange/exchange.go
@@ -106,8 +106,9 @@
 // many shards is in flight to all of them at once; otherwise rest is nil. The
 // headers for the request id, the deadline and the target replace headers of the
 // same names from the caller, and so do those of the key and the team under a
-// table with teams; replacedFields has the others. Content-Length is set from the body. Requests are written
-// without http.Transport, which could send them a second time.
+// table with teams; replacedFields has all of them. Content-Length is set from
+// the body. Requests are written without http.Transport, which could send them a
+// second time.
 func (n HeaderNames) encodeRequest(a relay.Attempt, now time.Time) (head []byte, rest [][]byte) {
 	r := a.Request()
 	encode := func(h http.Header) []byte { return encodeWithout(h, n.replacedFields(a)...) }
--- a/core/connection/peer/rollout_test.go
+++ b/core/connection/peer/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
@@ -49,3 +50,13 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, rollout.EncodeRecords(decoded.(peer.PublishedRoutes).Routes().Rollouts()), rollout.EncodeRecords([]rollout.Record{record}))
 }
+
+func ExampleMarkJoiner() {
+	founder := peer.NewPresence("vm-1", "10.0.0.1:1", "dc-1", peer.MarkStartID("a"), 0)
+	joiner := peer.NewPresence("vm-1", "10.0.0.1:1", "dc-1", peer.MarkJoiner(peer.MarkStartID("a")), 0)
+	fmt.Println(founder.OnlyJoins(), founder.UnderstandsOrders(), founder.UnderstandsRollouts())
+	fmt.Println(joiner.OnlyJoins(), joiner.UnderstandsOrders(), joiner.UnderstandsRollouts())
+	// Output:
+	// false true true
+	// true true true
+}
--- a/core/process/control/control.go
+++ b/core/process/control/control.go
@@ -123,7 +123,7 @@
 	caughtUp     bool
 	openedAt     bootclock.Time
 	// clock is the clock of the latest step.
-	clock clock
+	clock loopClock
 
 	// stateMu guards state, which is shared between the loop and callers of
 	// Audit.
--- a/core/process/control/faults_test.go
+++ b/core/process/control/faults_test.go
@@ -16,7 +16,7 @@
 
 // openLeader opens the only control VM without running its loop and steps it until
 // it leads.
-func openLeader(t *testing.T, folder string, clock clock) *Control {
+func openLeader(t *testing.T, folder string, clock loopClock) *Control {
 	t.Helper()
 	c, err := Open(folder, "vm-1", nil, 1, noPeers{}, noPeers{}, zap.NewNop(), clock.now())
 	assert.NilError(t, err)
@@ -35,7 +35,7 @@
 // failingStep is a call of failJournal in a goroutine of its own.
 type failingStep struct {
 	control *Control
-	clock   clock
+	clock   loopClock
 	done    chan struct{}
 }
 
@@ -127,7 +127,7 @@
 
 // deliverUntilSnapshot passes the queued messages on, up to the first snapshot, and
 // reports whether there was one. onSnapshot is called before that is passed on.
-func (s *peerSender) deliverUntilSnapshot(t *testing.T, to *Control, clock clock, onSnapshot func()) bool {
+func (s *peerSender) deliverUntilSnapshot(t *testing.T, to *Control, clock loopClock, onSnapshot func()) bool {
 	t.Helper()
 	for _, payload := range s.outbox {
 		e, err := replica.DecodeEnvelope(payload)
@@ -147,7 +147,7 @@
 }
 
 // startWithSnapshot gives a leader routes of version 7 that only its snapshot holds.
-func startWithSnapshot(t *testing.T, leader *Control, clock clock) {
+func startWithSnapshot(t *testing.T, leader *Control, clock loopClock) {
 	t.Helper()
 	reply := make(chan proposalResult, 1)
 	leader.handle(proposal{command: replica.NewPublishRoutes(7, []byte("text")), reply: reply}, clock.now())
--- a/core/process/control/loop.go
+++ b/core/process/control/loop.go
@@ -11,10 +11,10 @@
 	"github.com/mulberrydale/mulberrydale/core/result"
 )
 
-// clock is the time of a loop. Decisions use the time of bootclock, which changes of the time
+// loopClock is the time of the loop of Run. Decisions use the time of bootclock, which changes of the time
 // of day do not affect and which includes the time for which the machine was suspended: a
 // leader that was suspended must not take its last contact with a quorum for a recent one.
-type clock struct {
+type loopClock struct {
 	// now returns the present time.
 	now func() bootclock.Time
 	// startedAt is the present time at the start, and timeOfDay the time of day at it.
@@ -23,14 +23,14 @@
 }
 
 // newClock returns a clock that starts at the present time.
-func newClock(now func() bootclock.Time) clock {
-	return clock{now: now, startedAt: now(), timeOfDay: time.Now().Round(0)}
+func newClock(now func() bootclock.Time) loopClock {
+	return loopClock{now: now, startedAt: now(), timeOfDay: time.Now().Round(0)}
 }
 
 // appendTime returns the time of day that the log shows for an entry appended at a time. Later
 // changes of the time of day do not affect it, because all replicas remove what is outdated by
 // the times in the log.
-func (c clock) appendTime(at bootclock.Time) time.Time {
+func (c loopClock) appendTime(at bootclock.Time) time.Time {
 	return c.timeOfDay.Add(at.Sub(c.startedAt))
 }
 
@@ -131,7 +131,7 @@
 // records are written and synced before messages that depend on them are sent, and
 // only then are committed entries applied. Callers get their results last, once the
 // status shows them.
-func (c *Control) step(clock clock) error {
+func (c *Control) step(clock loopClock) error {
 	now := clock.now()
 	c.clock = clock
 	if !c.journalFailedAt.IsZero() {
--- a/core/process/control/paused_test.go
+++ b/core/process/control/paused_test.go
@@ -17,7 +17,7 @@
 // network joins control VMs that a test steps one by one. A VM that is paused is not
 // stepped; the messages to it wait.
 type network struct {
-	clock  clock
+	clock  loopClock
 	names  []string
 	vms    map[string]*Control
 	queues map[string][]delivery
@@ -63,7 +63,7 @@
 
 // newNetworkOf opens a number of control VMs, of which some become voters. diskOf returns the
 // disk of a VM.
-func newNetworkOf(t *testing.T, clock clock, vms, voters int, diskOf func(name string) journal.Disk) *network {
+func newNetworkOf(t *testing.T, clock loopClock, vms, voters int, diskOf func(name string) journal.Disk) *network {
 	n := &network{clock: clock, vms: make(map[string]*Control), queues: make(map[string][]delivery)}
 	for i := range vms {
 		name := fmt.Sprintf("vm-%d", i+1)
