soak: ports that the system gives to nobody else, and logs after a violation

Its logs were lost with its folder. One earlier failure is traced: a port that the runner had found free was in use when the process started. The runner took ports from the range of outgoing connections and of listeners without a port, which tests beside it use as well; it now takes them from below it, and none twice. After a violation the test prints the last lines of each log. The check is unchanged, and the entry of KNOWN-RED.txt stays, since the cause of this failure is not known.

--- a/runner/soak/process.go
+++ b/runner/soak/process.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,15 +63,38 @@
 // compete for ports.
 func loopbackIP(seed uint64) string { return fmt.Sprintf("127.0.%d.%d", 1+seed/250%250, 1+seed%250) }
 
+// The ports of a run lie below those that the system gives to outgoing connections and to
+// listeners that name no port. Any of these could take a port in the time from freeAddress to
+// the start of the process that is to listen on it.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+// nextPort counts the ports that were tried, so that no two calls return the same one. It
+// starts anywhere, because runs with the same seed in several processes share an IP address.
+var nextPort = newPortCounter()
+
+func newPortCounter() *atomic.Uint32 {
+	var counter atomic.Uint32
+	counter.Store(rand.Uint32N(portCount))
+	return &counter
+}
+
 // freeAddress returns an address with a port that is free at the time of the
 // call.
 func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+	var failure error
+	for range portCount {
+		port := firstPort + nextPort.Add(1)%portCount
+		address := net.JoinHostPort(ip, strconv.FormatUint(uint64(port), 10))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
+		failure = err
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", failure
 }
 
 // start writes the settings file and starts the process.
--- a/runner/soak/soak_test.go
+++ b/runner/soak/soak_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,10 +34,33 @@
 	assert.NilError(t, err, string(out))
 	for _, tt := range seeds {
 		var report bytes.Buffer
-		r, err := soak.Start(binary, t.TempDir(), tt.seed, &report)
+		folder := t.TempDir()
+		r, err := soak.Start(binary, folder, tt.seed, &report)
 		assert.NilError(t, err)
 		violations := r.Execute(context.Background(), tt.span)
 		r.Close()
+		if len(violations) > 0 {
+			printEnds(folder)
+		}
 		assert.Equal(t, len(violations), 0, report.String())
 	}
 }
+
+// printEnds prints the last lines of the logs of a run, which are removed with its folder.
+// They are not messages of the test, by which CI knows a failure.
+func printEnds(folder string) {
+	logs, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+		for _, line := range lines[max(0, len(lines)-maxPrintedLines):] {
+			fmt.Println(filepath.Base(path), line)
+		}
+	}
+}
+
+// maxPrintedLines is the number of lines of each log that are printed after a violation.
+const maxPrintedLines = 5
