--- a/core/process/replica/replacement_test.go
+++ b/core/process/replica/replacement_test.go
@@ -16,6 +16,24 @@
 	}
 }
 
+// newClusterWithSpare returns a cluster of three voters and a spare VM that has published routes,
+// its leader and the other voters by name.
+func newClusterWithSpare(t *testing.T, seed uint64) (c *cluster, leader *simulatedVM, followers []*simulatedVM) {
+	t.Helper()
+	c = newClusterWithVMs([]string{"vm-1", "vm-2", "vm-3", "vm-4"}, 3, seed, injectedBugs{})
+	c.settle()
+	leader = c.leader()
+	assert.Assert(t, leader != nil)
+	c.propose(leader.name, NewPublishRoutes(1, []byte("text")))
+	c.settle()
+	for _, m := range leader.node.Voters().Members() {
+		if m.id != leader.id {
+			followers = append(followers, c.vms[m.vm])
+		}
+	}
+	return c, leader, followers
+}
+
 // learnerReplyInFlight reports whether a reply of a replica that is not a voter is on its way
 // to the leader.
 func (c *cluster) learnerReplyInFlight(leader *simulatedVM) bool {
@@ -36,14 +54,7 @@
 	for seed := range uint64(20) {
 		for _, lostFirst := range []bool{false, true} {
 			t.Run(fmt.Sprintf("seed %d, first voter lost %t", seed, lostFirst), func(t *testing.T) {
-				c := newClusterWithVMs([]string{"vm-1", "vm-2", "vm-3", "vm-4"}, 3, seed, injectedBugs{})
-				c.settle()
-				leader := c.leader()
-				assert.Assert(t, leader != nil)
-				c.propose(leader.name, NewPublishRoutes(1, []byte("text")))
-				c.settle()
-
-				followers := c.followersOf(leader)
+				c, leader, followers := newClusterWithSpare(t, seed)
 				sound, lost := followers[0], followers[1]
 				if lostFirst {
 					sound, lost = lost, sound
@@ -65,17 +76,6 @@
 	}
 }
 
-// followersOf returns the voters of a leader other than itself, by name.
-func (c *cluster) followersOf(leader *simulatedVM) []*simulatedVM {
-	var out []*simulatedVM
-	for _, m := range leader.node.Voters().Members() {
-		if m.id != leader.id {
-			out = append(out, c.vms[m.vm])
-		}
-	}
-	return out
-}
-
 // Guards against a set of voters that has one less while a voter is replaced: if the voter
 // that is replaced has a sound disk and another one loses its disk at that time, the
 // remaining set can never have a majority again, though two of three disks are sound.
@@ -84,14 +84,7 @@
 	for _, lostLeader := range []bool{false, true} {
 		for after := 2300 * time.Millisecond; after < 3200*time.Millisecond; after += 20 * time.Millisecond {
 			t.Run(fmt.Sprintf("lost after %v, leader %t", after, lostLeader), func(t *testing.T) {
-				c := newClusterWithVMs([]string{"vm-1", "vm-2", "vm-3", "vm-4"}, 3, uint64(after), injectedBugs{})
-				c.settle()
-				leader := c.leader()
-				assert.Assert(t, leader != nil)
-				c.propose(leader.name, NewPublishRoutes(1, []byte("text")))
-				c.settle()
-
-				followers := c.followersOf(leader)
+				c, leader, followers := newClusterWithSpare(t, uint64(after))
 				frozen, lost := followers[0], followers[1]
 				if lostLeader {
 					lost = leader
